Lay out the workspace: model, ports of the coordination module, parts of the daemon

Cause: nothing exists; every lane needs the same vocabulary, ports and build. Ruled out: one module (no acyclic graph to check); gRPC or a generated codec (no generator may be needed). Before: no build. Conclusion: lanes can work side by side against the ports.

--- /dev/null
+++ b/waxwinghead-cli/src/main/java/dev/waxwinghead/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The program {@code waxwinghead}: the operators' command line. */
+package dev.waxwinghead.cli;
--- /dev/null
+++ b/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/peer/package-info.java
@@ -0,0 +1,2 @@
+/** The port through which entry hosts exchange messages. */
+package dev.waxwinghead.coordination.peer;
--- /dev/null
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/settings/package-info.java
@@ -0,0 +1,2 @@
+/** The daemon's settings: flags, environment variables and the checks on both. */
+package dev.waxwinghead.daemon.settings;
--- /dev/null
+++ b/waxwinghead-model/src/main/java/dev/waxwinghead/model/error/package-info.java
@@ -0,0 +1,2 @@
+/** Typed errors whose messages name the remedy. */
+package dev.waxwinghead.model.error;
--- /dev/null
+++ b/waxwinghead-model/src/main/java/dev/waxwinghead/model/id/HostId.java
@@ -0,0 +1,40 @@
+package dev.waxwinghead.model.id;
+
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonValue;
+
+/**
+ * Identifies an entry host.
+ *
+ * @param value the text of the id; letters, digits, {@code .}, {@code _}, {@code :} and {@code -}
+ * @since 0.1
+ */
+public record HostId(@JsonValue String value) implements Comparable<HostId> {
+    /** Checks the text of the id. */
+    public HostId {
+        IdSyntax.check(value, "entry host id");
+    }
+
+    /**
+     * Returns the id with the given text.
+     *
+     * @param value the text of the id
+     * @return the id, never null
+     * @throws dev.waxwinghead.model.error.WaxwingheadException if the text is empty, too long or holds another
+     *     character
+     */
+    @JsonCreator
+    public static HostId of(String value) {
+        return new HostId(value);
+    }
+
+    @Override
+    public int compareTo(HostId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/waxwinghead-model/src/main/java/dev/waxwinghead/model/id/ReplicaId.java
@@ -0,0 +1,40 @@
+package dev.waxwinghead.model.id;
+
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonValue;
+
+/**
+ * Identifies one life of a replica of the shared state. A host whose data folder was lost returns under a new one.
+ *
+ * @param value the text of the id; letters, digits, {@code .}, {@code _}, {@code :} and {@code -}
+ * @since 0.1
+ */
+public record ReplicaId(@JsonValue String value) implements Comparable<ReplicaId> {
+    /** Checks the text of the id. */
+    public ReplicaId {
+        IdSyntax.check(value, "replica id");
+    }
+
+    /**
+     * Returns the id with the given text.
+     *
+     * @param value the text of the id
+     * @return the id, never null
+     * @throws dev.waxwinghead.model.error.WaxwingheadException if the text is empty, too long or holds another
+     *     character
+     */
+    @JsonCreator
+    public static ReplicaId of(String value) {
+        return new ReplicaId(value);
+    }
+
+    @Override
+    public int compareTo(ReplicaId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/waxwinghead-model/src/main/java/dev/waxwinghead/model/id/WorkerId.java
@@ -0,0 +1,40 @@
+package dev.waxwinghead.model.id;
+
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonValue;
+
+/**
+ * Identifies a worker.
+ *
+ * @param value the text of the id; letters, digits, {@code .}, {@code _}, {@code :} and {@code -}
+ * @since 0.1
+ */
+public record WorkerId(@JsonValue String value) implements Comparable<WorkerId> {
+    /** Checks the text of the id. */
+    public WorkerId {
+        IdSyntax.check(value, "worker id");
+    }
+
+    /**
+     * Returns the id with the given text.
+     *
+     * @param value the text of the id
+     * @return the id, never null
+     * @throws dev.waxwinghead.model.error.WaxwingheadException if the text is empty, too long or holds another
+     *     character
+     */
+    @JsonCreator
+    public static WorkerId of(String value) {
+        return new WorkerId(value);
+    }
+
+    @Override
+    public int compareTo(WorkerId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/waxwinghead-model/src/main/java/dev/waxwinghead/model/label/package-info.java
@@ -0,0 +1,2 @@
+/** Labels and the selectors that match them. */
+package dev.waxwinghead.model.label;
--- /dev/null
+++ b/waxwinghead-model/src/main/java/dev/waxwinghead/model/lifecycle/package-info.java
@@ -0,0 +1,2 @@
+/** Ownership of resources and their orderly release. */
+package dev.waxwinghead.model.lifecycle;
--- /dev/null
+++ b/waxwinghead-model/src/main/java/dev/waxwinghead/model/manifest/package-info.java
@@ -0,0 +1,2 @@
+/** Manifests: what operators declare about services, jobs, quotas, tenants and the objective. */
+package dev.waxwinghead.model.manifest;
--- /dev/null
+++ b/waxwinghead-model/src/main/java/dev/waxwinghead/model/resource/package-info.java
@@ -0,0 +1,2 @@
+/** Amounts of processors, memory and accelerators. */
+package dev.waxwinghead.model.resource;
--- /dev/null
+++ b/waxwinghead-model/src/main/java/dev/waxwinghead/model/time/package-info.java
@@ -0,0 +1,2 @@
+/** Monotonic time and deadlines. */
+package dev.waxwinghead.model.time;
--- /dev/null
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/package-info.java
@@ -0,0 +1,2 @@
+/** Embeddable scheduling policies: pure decisions on placement, quotas, routing, limits and retries. */
+package dev.waxwinghead.scheduling;
--- /dev/null
+++ b/waxwinghead-systemtests/src/main/java/dev/waxwinghead/systemtests/package-info.java
@@ -0,0 +1,2 @@
+/** Tests that start the real programs as processes. */
+package dev.waxwinghead.systemtests;
