Add the stand-in worker, its upstreams and the load program

Cause: every test of the whole path needs workers that poll, obey terms and leases and can be made to misbehave, and callers whose answers are checked. Ruled out: a process per worker (33 workers in a scenario would cost 33 JVMs); one process plays several workers over one timer and one HTTP client.

--- /dev/null
+++ b/waxwinghead-testkit/src/main/java/dev/waxwinghead/testkit/worker/TaskLease.java
@@ -0,0 +1,38 @@
+package dev.waxwinghead.testkit.worker;
+
+import dev.waxwinghead.model.time.Ticker;
+
+/**
+ * Tells whether a worker's tasks may act.
+ *
+ * <p>Thread-safe. It starts out lapsed.
+ */
+final class TaskLease {
+    private final Ticker ticker;
+    private volatile long endNanos;
+
+    private TaskLease(Ticker ticker) {
+        this.ticker = ticker;
+        this.endNanos = ticker.nanos();
+    }
+
+    static TaskLease create(Ticker ticker) {
+        return new TaskLease(ticker);
+    }
+
+    /** Extends the lease; an earlier end than the one held changes nothing. */
+    synchronized void extend(long sentNanos, long leaseMillis) {
+        long end = sentNanos + leaseMillis * 1_000_000L;
+        if (end - endNanos > 0) {
+            endNanos = end;
+        }
+    }
+
+    boolean held() {
+        return ticker.nanos() - endNanos < 0;
+    }
+
+    long remainingMillis() {
+        return Math.max(0, (endNanos - ticker.nanos()) / 1_000_000L);
+    }
+}
--- /dev/null
+++ b/waxwinghead-testkit/src/main/java/dev/waxwinghead/testkit/worker/UsageMeter.java
@@ -0,0 +1,40 @@
+package dev.waxwinghead.testkit.worker;
+
+import dev.waxwinghead.model.time.Ticker;
+import java.time.Duration;
+
+/** Measures what a task uses and shows each measurement only after a lag. Not thread-safe. */
+final class UsageMeter {
+    private final Ticker ticker;
+    private final Duration lag;
+    private Sample shown;
+    private Sample newest;
+
+    private UsageMeter(Ticker ticker, Duration lag) {
+        this.ticker = ticker;
+        this.lag = lag;
+    }
+
+    static UsageMeter create(Ticker ticker, Duration lag) {
+        return new UsageMeter(ticker, lag);
+    }
+
+    void measure(long millicores, long memoryBytes) {
+        long now = ticker.nanos();
+        if (newest == null || now - newest.takenNanos >= lag.toNanos()) {
+            shown = newest;
+            newest = new Sample(millicores, memoryBytes, now);
+        }
+    }
+
+    /** Returns the newest measurement that is older than the lag, null if there is none. */
+    Usage usage() {
+        if (shown == null) {
+            return null;
+        }
+        long ageMillis = (ticker.nanos() - shown.takenNanos) / 1_000_000L;
+        return new Usage(shown.millicores, shown.memoryBytes, ageMillis);
+    }
+
+    private record Sample(long millicores, long memoryBytes, long takenNanos) {}
+}
--- /dev/null
+++ b/waxwinghead-testkit/src/main/java/dev/waxwinghead/testkit/worker/WorkerProcess.java
@@ -0,0 +1,84 @@
+package dev.waxwinghead.testkit.worker;
+
+import dev.waxwinghead.model.id.RackId;
+import dev.waxwinghead.model.id.WorkerId;
+import dev.waxwinghead.model.lifecycle.Closer;
+import dev.waxwinghead.model.time.Ticker;
+import java.net.http.HttpClient;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+
+/** Runs the stand-in workers of one process over a shared timer and HTTP client. */
+final class WorkerProcess implements AutoCloseable {
+    private static final int TIMER_THREADS = 4;
+    private static final int HTTP_THREADS = 4;
+    private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
+
+    private final Closer closer = Closer.create();
+    private final List<StandInWorker> workers = new ArrayList<>();
+
+    private WorkerProcess() {}
+
+    static WorkerProcess start(WorkerOptions options) {
+        WorkerProcess process = new WorkerProcess();
+        ScheduledExecutorService timer = Executors.newScheduledThreadPool(TIMER_THREADS);
+        process.closer.register(timer::shutdownNow);
+        ExecutorService executor = Executors.newFixedThreadPool(HTTP_THREADS);
+        process.closer.register(executor::shutdownNow);
+        HttpClient client = HttpClient.newBuilder()
+                .version(HttpClient.Version.HTTP_1_1)
+                .connectTimeout(CONNECT_TIMEOUT)
+                .executor(executor)
+                .build();
+        TaskRecord record = process.closer.register(TaskRecord.open(options.record()));
+        for (int i = 0; i < options.workers(); i++) {
+            process.add(options, i, record, timer, client);
+        }
+        return process;
+    }
+
+    private void add(
+            WorkerOptions options, int index, TaskRecord record, ScheduledExecutorService timer, HttpClient client) {
+        TaskTable tasks = TaskTable.create();
+        TaskContext context = new TaskContext(
+                describe(options, index),
+                TaskLease.create(Ticker.system()),
+                record,
+                Ticker.system(),
+                timer,
+                EntryHostClient.create(client, options.workerPorts(), index),
+                options.usageLag(),
+                options.failsAll(),
+                tasks::noiseMicros);
+        workers.add(closer.register(StandInWorker.start(context, tasks, options)));
+    }
+
+    private static WorkerDescription describe(WorkerOptions options, int index) {
+        boolean alone = options.workers() == 1;
+        String id = alone ? options.id() : options.id() + "-" + (index + 1);
+        String rack = alone ? options.rack() : options.rack() + "-" + (index / options.workersPerRack() + 1);
+        return new WorkerDescription(
+                WorkerId.of(id),
+                options.incarnation(),
+                options.dataCentre(),
+                RackId.of(rack),
+                options.capacity(),
+                options.labels());
+    }
+
+    /** Starts to leave with all workers; the future completes once each has left. */
+    CompletableFuture<Void> leave() {
+        CompletableFuture<?>[] left = workers.stream().map(StandInWorker::leave).toArray(CompletableFuture<?>[]::new);
+        return CompletableFuture.allOf(left);
+    }
+
+    @Override
+    public void close() {
+        closer.close();
+    }
+}
