--- a/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/peer/PeerChannel.java
+++ b/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/peer/PeerChannel.java
@@ -15,5 +15,7 @@
     /** Lending of slots and connections of upstreams. */
     SHARES,
     /** Capacity reports and requests between schedulers. */
-    SCHEDULERS
+    SCHEDULERS,
+    /** The revision that each entry host has in force. */
+    STATUS
 }
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/http/JsonExchange.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/http/JsonExchange.java
@@ -11,6 +11,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
 
 /** Reads and answers exchanges whose bodies are JSON. */
 public final class JsonExchange {
@@ -102,14 +103,22 @@
      * @param answer the future
      */
     public static void respondLater(HttpExchange exchange, CompletableFuture<?> answer) {
-        answer.whenComplete((value, failure) -> {
-                    if (failure == null) {
-                        respond(exchange, 200, value);
-                    } else {
-                        fail(exchange, failure);
-                    }
-                })
-                .exceptionally(failure -> null);
+        answerLater(exchange, answer, value -> respond(exchange, 200, value));
+    }
+
+    /**
+     * Hands the future's value to an answerer, or answers with its failure, once it completes.
+     *
+     * @param exchange the exchange
+     * @param future the future
+     * @param answerer answers the exchange
+     * @param <T> the future's type
+     */
+    public static <T> void answerLater(HttpExchange exchange, CompletableFuture<T> future, Consumer<T> answerer) {
+        future.thenAccept(answerer).exceptionally(failure -> {
+            fail(exchange, failure);
+            return null;
+        });
     }
 
     /**
--- /dev/null
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/settings/SettingsException.java
@@ -0,0 +1,25 @@
+package dev.waxwinghead.daemon.settings;
+
+import java.util.List;
+
+/** Reports all problems of the settings at once. */
+public final class SettingsException extends Exception {
+    private static final long serialVersionUID = 1L;
+
+    /** The problems, each naming the setting, the value and the remedy. */
+    private final List<String> problems;
+
+    SettingsException(List<String> problems) {
+        super(String.join("\n", problems));
+        this.problems = List.copyOf(problems);
+    }
+
+    /**
+     * Returns the problems.
+     *
+     * @return one line each, naming the setting, the value and the remedy
+     */
+    public List<String> problems() {
+        return problems;
+    }
+}
--- a/waxwinghead-model/src/main/java/dev/waxwinghead/model/manifest/JobManifest.java
+++ b/waxwinghead-model/src/main/java/dev/waxwinghead/model/manifest/JobManifest.java
@@ -5,7 +5,9 @@
 import dev.waxwinghead.model.id.TeamName;
 import dev.waxwinghead.model.label.Labels;
 import dev.waxwinghead.model.resource.Resources;
+import java.util.Collections;
 import java.util.Map;
+import java.util.TreeMap;
 
 /**
  * Declares a batch job that runs to completion.
@@ -57,7 +59,7 @@
             Checks.range(expectedRunMillis, 1L, Long.MAX_VALUE, "expectedRunMillis");
         }
         maxFailures = Checks.range(maxFailures == null ? DEFAULT_MAX_FAILURES : maxFailures, 0, 1_000, "maxFailures");
-        settings = settings == null ? Map.of() : Map.copyOf(settings);
+        settings = settings == null ? Map.of() : Collections.unmodifiableMap(new TreeMap<>(settings));
     }
 
     @Override
--- a/waxwinghead-model/src/main/java/dev/waxwinghead/model/manifest/ServiceManifest.java
+++ b/waxwinghead-model/src/main/java/dev/waxwinghead/model/manifest/ServiceManifest.java
@@ -5,7 +5,9 @@
 import dev.waxwinghead.model.id.TeamName;
 import dev.waxwinghead.model.label.Labels;
 import dev.waxwinghead.model.resource.Resources;
+import java.util.Collections;
 import java.util.Map;
+import java.util.TreeMap;
 
 /**
  * Declares a service that answers callers.
@@ -59,7 +61,7 @@
                 1,
                 3_600_000,
                 "latencyTargetMillis");
-        settings = settings == null ? Map.of() : Map.copyOf(settings);
+        settings = settings == null ? Map.of() : Collections.unmodifiableMap(new TreeMap<>(settings));
     }
 
     @Override
