Add the operators' command line and the launchers

One change id goes with all resends; a request that may have taken effect ends as unknown-outcome (8), one that surely did not as unavailable or no-majority (7). 'drain host' asks only the host that is named, since each drains itself. Ruled out: failing over on any error status; only 502, 503 and 504 are passed over, the others are answers.

--- /dev/null
+++ b/waxwinghead-cli/src/main/java/dev/waxwinghead/cli/command/ApplyCommand.java
@@ -0,0 +1,85 @@
+package dev.waxwinghead.cli.command;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.github.rvesse.airline.annotations.AirlineModule;
+import com.github.rvesse.airline.annotations.Command;
+import com.github.rvesse.airline.annotations.Option;
+import com.github.rvesse.airline.annotations.restrictions.Required;
+import dev.waxwinghead.cli.client.OperatorClient;
+import dev.waxwinghead.cli.output.Answer;
+import dev.waxwinghead.cli.output.OutputFormat;
+import dev.waxwinghead.model.error.ErrorKind;
+import dev.waxwinghead.model.error.WaxwingheadException;
+import dev.waxwinghead.model.id.ChangeId;
+import dev.waxwinghead.model.manifest.Manifests;
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Puts the manifests of a file in force, all or none.
+ *
+ * @since 0.1
+ */
+@Command(name = "apply", description = "Puts the manifests of a YAML file in force, all or none")
+public final class ApplyCommand implements CliCommand {
+    private static final String STANDARD_INPUT = "-";
+
+    @AirlineModule
+    ConnectionOptions connection = new ConnectionOptions();
+
+    @AirlineModule
+    ChangeOptions change = new ChangeOptions();
+
+    @AirlineModule
+    RevisionOptions revision = new RevisionOptions();
+
+    @Required
+    @Option(
+            name = {"-f", "--file"},
+            title = "file",
+            description = "The file with the manifests; - for the standard input")
+    String file;
+
+    /** Creates the command. */
+    public ApplyCommand() {}
+
+    @Override
+    public Answer run(CommandContext context) {
+        List<String> problems = new ArrayList<>();
+        ChangeId changeId = change.changeId(problems);
+        Long expected = revision.expectedRevision(problems);
+        OperatorClient client = connection.client(context, problems);
+        String text = read(context.input());
+        List<String> keys = Manifests.readYaml(text).stream()
+                .map(manifest -> manifest.key().toString())
+                .toList();
+        JsonNode accepted = client.post(ChangeBody.PATH, ChangeBody.of(changeId, expected, text, List.of()));
+        return ChangeBody.answer(accepted, changeId, "applied", keys);
+    }
+
+    private String read(InputStream standardInput) {
+        try (InputStream input = file.equals(STANDARD_INPUT) ? standardInput : Files.newInputStream(Path.of(file))) {
+            byte[] bytes = input.readNBytes(Manifests.MAX_TEXT_CHARACTERS + 1);
+            if (bytes.length > Manifests.MAX_TEXT_CHARACTERS) {
+                throw WaxwingheadException.of(
+                        ErrorKind.TOO_LARGE,
+                        file + " has more than " + Manifests.MAX_TEXT_CHARACTERS + " bytes",
+                        "split it into several files");
+            }
+            return new String(bytes, StandardCharsets.UTF_8);
+        } catch (IOException e) {
+            throw WaxwingheadException.of(
+                    ErrorKind.INVALID_INPUT, file + " can't be read", "name a file that exists, or -", e);
+        }
+    }
+
+    @Override
+    public OutputFormat format() {
+        return connection.format();
+    }
+}
--- /dev/null
+++ b/waxwinghead-cli/src/main/java/dev/waxwinghead/cli/output/package-info.java
@@ -0,0 +1,2 @@
+/** Tables and JSON for the terminal. */
+package dev.waxwinghead.cli.output;
--- a/waxwinghead-cli/src/main/java/dev/waxwinghead/cli/package-info.java
+++ b/waxwinghead-cli/src/main/java/dev/waxwinghead/cli/package-info.java
@@ -1,2 +1,2 @@
-/** The program {@code waxwinghead}: the operators' command line. */
+/** The operators' command line: reads the arguments, runs one command and ends with the status of its outcome. */
 package dev.waxwinghead.cli;
--- /dev/null
+++ b/waxwinghead-cli/src/test/java/dev/waxwinghead/cli/CommandLineTests.java
@@ -0,0 +1,263 @@
+package dev.waxwinghead.cli;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import dev.waxwinghead.cli.command.CommandContext;
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class CommandLineTests {
+    private static final String JOB = """
+            kind: Job
+            name: nightly
+            team: seating
+            tasks: 2
+            resources: {millicores: 500, memoryBytes: 1000, accelerators: 0}
+            """;
+    private static final String NO_MAJORITY =
+            "{\"error\": \"no-majority\", \"message\": \"no majority; wait\", \"remedy\": \"wait\"}";
+
+    private final ByteArrayOutputStream output = new ByteArrayOutputStream();
+    private final ByteArrayOutputStream errors = new ByteArrayOutputStream();
+    private StubOperatorHost host;
+
+    @BeforeEach
+    void openHost() throws IOException {
+        host = StubOperatorHost.open();
+    }
+
+    @AfterEach
+    void closeHost() {
+        host.close();
+    }
+
+    private int runWith(String input, String entryHosts, String... arguments) {
+        CommandLine commandLine = new CommandLine(
+                new PrintStream(output, true, StandardCharsets.UTF_8),
+                new PrintStream(errors, true, StandardCharsets.UTF_8));
+        return commandLine.run(
+                arguments,
+                new CommandContext(
+                        Map.of("WAXWINGHEAD_ENTRY_HOSTS", entryHosts),
+                        new ByteArrayInputStream(input.getBytes(StandardCharsets.UTF_8))));
+    }
+
+    private int run(String... arguments) {
+        return runWith(JOB, host.port(), arguments);
+    }
+
+    private String output() {
+        return output.toString(StandardCharsets.UTF_8);
+    }
+
+    private String errors() {
+        return errors.toString(StandardCharsets.UTF_8);
+    }
+
+    private static String changeIdOf(String body) throws IOException {
+        return new ObjectMapper().readTree(body).path("changeId").asText();
+    }
+
+    @Nested
+    class Usage {
+        @ParameterizedTest
+        @ValueSource(
+                strings = {
+                    "apply",
+                    "apply -f - --colour red",
+                    "describe job",
+                    "get planets",
+                    "get jobs --output xml",
+                    "get jobs --timeout 5",
+                    "apply -f - --expected-revision -1",
+                    "apply -f - --change-id a%b",
+                    "delete job",
+                    "drain star w1",
+                    "cancel",
+                    "members remove",
+                    "shout",
+                })
+        void endsWithStatusTwoAndARemedy(String arguments) {
+            int status = run(arguments.split(" ", -1));
+
+            assertThat(status).isEqualTo(2);
+            assertThat(errors()).contains("; ");
+            assertThat(host.bodies()).isEmpty();
+        }
+
+        @Test
+        void reportsAllProblemsAtOnce() {
+            runWith(JOB, "localhost:80", "get", "planets", "--output", "xml", "--timeout", "now");
+
+            assertThat(errors()).contains("kind 'planets'");
+            assertThat(errors()).contains("--output is 'xml'");
+            assertThat(errors()).contains("--timeout is 'now'");
+            assertThat(errors()).contains("--entry-hosts has 'localhost:80'");
+        }
+
+        @ParameterizedTest
+        @ValueSource(strings = {"apply", "get", "describe", "delete", "status", "drain", "cancel", "members remove"})
+        void showsTheHelpOfEachCommand(String command) {
+            int status = run((command + " --help").split(" ", -1));
+
+            assertThat(status).isEqualTo(0);
+            assertThat(output()).contains("--entry-hosts");
+        }
+    }
+
+    @Nested
+    class Apply {
+        @Test
+        void sendsTheManifestsAndShowsTheRevision() throws IOException {
+            host.reply("/v1/changes", 200, "{\"revision\": 5, \"replayed\": false}");
+
+            int status = run("apply", "-f", "-", "--expected-revision", "4", "--change-id", "c1");
+
+            assertThat(status).isEqualTo(0);
+            assertThat(output()).isEqualTo("Job/nightly applied\nrevision 5, change c1\n");
+            JsonNode sent = new ObjectMapper().readTree(host.bodies().get(0));
+            assertThat(sent.path("manifests").asText()).isEqualTo(JOB);
+            assertThat(sent.path("expectedRevision").asLong()).isEqualTo(4);
+        }
+
+        @Test
+        void sendsNothingThatIsMalformed() {
+            int status = runWith(JOB + "colour: red\n", host.port(), "apply", "-f", "-");
+
+            assertThat(status).isEqualTo(3);
+            assertThat(host.bodies()).isEmpty();
+        }
+
+        @Test
+        void showsWhoWon() {
+            host.reply("/v1/changes", 409, """
+                    {"error": "conflict", "message": "revision 5 is in force, made by change c7; read it again",
+                     "remedy": "read it again", "revision": 5, "winner": "c7"}""");
+
+            int status = run("apply", "-f", "-", "--expected-revision", "4");
+
+            assertThat(status).isEqualTo(5);
+            assertThat(errors()).isEqualTo("waxwinghead: revision 5 is in force, made by change c7; read it again\n");
+        }
+    }
+
+    @Nested
+    class EntryHosts {
+        @Test
+        void triesTheNextOneWhenOneIsGone() {
+            host.reply("/v1/changes", 200, "{\"revision\": 5, \"replayed\": false}");
+
+            assertThat(runWith(JOB, "127.0.0.1:1," + host.port(), "apply", "-f", "-"))
+                    .isEqualTo(0);
+        }
+
+        @ParameterizedTest
+        @CsvSource({"0", "503"})
+        void resendsUnderTheSameChangeId(int status) throws IOException {
+            try (StubOperatorHost second = StubOperatorHost.open()) {
+                host.reply("/v1/changes", status, NO_MAJORITY);
+                second.reply("/v1/changes", 200, "{\"revision\": 5, \"replayed\": true}");
+
+                runWith(JOB, host.port() + "," + second.port(), "apply", "-f", "-");
+
+                assertThat(output()).contains("accepted earlier");
+                assertThat(changeIdOf(second.bodies().get(0)))
+                        .isEqualTo(changeIdOf(host.bodies().get(0)));
+            }
+        }
+
+        @ParameterizedTest
+        @CsvSource({"0, 8, --change-id", "503, 7, wait"})
+        void tellsAnOpenOutcomeFromARefusal(int reply, int exitStatus, String remedy) {
+            host.reply("/v1/changes", reply, NO_MAJORITY);
+
+            assertThat(run("apply", "-f", "-", "--timeout", "600ms")).isEqualTo(exitStatus);
+            assertThat(errors()).contains(remedy);
+        }
+
+        @Test
+        void givesUpWithARemedyWhenNoneAnswers() {
+            assertThat(runWith(JOB, "127.0.0.1:1", "status", "--timeout", "300ms"))
+                    .isEqualTo(7);
+            assertThat(errors()).contains("check --entry-hosts");
+        }
+
+        @Test
+        void drainsJustTheEntryHostThatIsNamed() {
+            host.reply("/v1/drain", 200, "{\"draining\": \"e2\"}");
+
+            assertThat(runWith(JOB, "127.0.0.1:1", "drain", "host", host.port()))
+                    .isEqualTo(0);
+            assertThat(host.bodies().get(0)).contains("\"host\":true");
+        }
+    }
+
+    @Nested
+    class Showing {
+        @Test
+        void saysWhyATaskWaits() {
+            host.reply("/v1/resources/job/nightly", 200, """
+                    {"revision": 5, "entries": [{"key": "Job/nightly", "revision": 5,
+                     "manifest": {"kind": "Job", "name": "nightly", "tasks": 2}}]}""");
+            host.reply("/v1/jobs/nightly", 200, """
+                    {"name": "nightly", "state": "waiting", "tasks": 1, "waiting": 1, "reason": null}""");
+            host.reply("/v1/tasks?owner=job%2Fnightly", 200, """
+                    {"tasks": [{"task": "job/nightly/0", "attempt": 0, "state": "waiting", "worker": null,
+                     "reason": "no worker has 500 free millicores"}]}""");
+
+            assertThat(run("describe", "job", "nightly")).isEqualTo(0);
+            assertThat(output()).contains("state: waiting\n");
+            assertThat(output()).contains("no worker has 500 free millicores");
+        }
+
+        @Test
+        void givesATypedErrorForAnUnknownName() {
+            host.reply("/v1/resources/job/daily", 200, "{\"revision\": 5, \"entries\": []}");
+
+            assertThat(run("get", "jobs", "daily", "--output", "json")).isEqualTo(4);
+            assertThat(output()).contains("\"error\" : \"not-found\"");
+        }
+
+        @Test
+        void showsWorkersInATable() {
+            host.reply("/v1/workers", 200, """
+                    {"workers": [{"worker": "w1", "dataCentre": "dc1", "rack": "r1", "state": "ready",
+                     "capacity": {"millicores": 16000, "memoryBytes": 60, "accelerators": 0},
+                     "committed": {"millicores": 500, "memoryBytes": 10, "accelerators": 0},
+                     "labels": {"pool": "general"}, "lastHeardAgoMillis": 120}]}""");
+
+            run("get", "workers");
+
+            assertThat(output()).contains("w1      dc1          r1    ready  500/16000   10/60");
+        }
+
+        @Test
+        void showsTheRevisionOfEachEntryHost() {
+            host.reply("/v1/status", 200, """
+                    {"host": "e1", "dataCentre": "dc1", "revision": 5, "parts": {"tasks": 3},
+                     "log": {"leader": "e2", "term": 3, "committedIndex": 9, "appliedIndex": 9,
+                      "majorityInReach": false, "outOfContactSinceEpochMillis": 0,
+                      "members": [{"host": "e1", "voter": true}]},
+                     "peers": [{"host": "e2", "dataCentre": "dc2", "connected": false, "lastHeardAgoMillis": 2500,
+                      "revision": 4}]}""");
+
+            run("status");
+
+            assertThat(output()).contains("majority: out of reach since 1970-01-01T00:00:00Z");
+            assertThat(output()).contains("e2    dc2          4         no         2.5s ago");
+        }
+    }
+}
