--- /dev/null
+++ b/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/consensus/Follower.java
@@ -0,0 +1,122 @@
+package dev.waxwinghead.coordination.consensus;
+
+import dev.waxwinghead.coordination.consensus.Message.AppendRequest;
+import dev.waxwinghead.coordination.consensus.Message.AppendResponse;
+import dev.waxwinghead.coordination.consensus.Message.SnapshotChunk;
+import dev.waxwinghead.coordination.consensus.Message.SnapshotResponse;
+import dev.waxwinghead.coordination.storage.LogEntry;
+import dev.waxwinghead.coordination.storage.Snapshot;
+import dev.waxwinghead.model.id.HostId;
+import java.util.List;
+import java.util.Optional;
+
+/** Takes entries and snapshots from the leader of the term. */
+final class Follower {
+    private final CoreState state;
+    private Optional<SnapshotAssembly> assembly = Optional.empty();
+
+    Follower(CoreState state) {
+        this.state = state;
+    }
+
+    void append(HostId host, AppendRequest request) {
+        follow(host, request);
+        long previous = request.previousIndex();
+        if (previous >= state.log.baseIndex() && state.log.term(previous) != request.previousTerm()) {
+            answer(host, request, false, lastPossibleMatch(previous));
+            return;
+        }
+        take(request.entries());
+        long match = previous + request.entries().size();
+        state.commitIndex = Math.max(state.commitIndex, Math.min(request.commitIndex(), match));
+        answer(host, request, true, match);
+    }
+
+    void chunk(HostId host, SnapshotChunk chunk) {
+        follow(host, chunk);
+        if (chunk.lastIndex() <= state.commitIndex) {
+            accept(host, chunk);
+            return;
+        }
+        SnapshotAssembly current = assembly.filter(a -> a.accepts(chunk)).orElseGet(() -> new SnapshotAssembly(chunk));
+        assembly = Optional.of(current);
+        current.add(chunk);
+        if (!current.isComplete()) {
+            state.sendAfterSync(
+                    host,
+                    new SnapshotResponse(
+                            state.headerTo(chunk.header().from()),
+                            chunk.lastIndex(),
+                            current.nextOffset(),
+                            chunk.round()));
+            return;
+        }
+        assembly = Optional.empty();
+        install(host, chunk, current.toSnapshot());
+    }
+
+    private void follow(HostId host, Message message) {
+        state.becomeFollower(message.header().term());
+        state.leader = Optional.of(message.header().from());
+        state.leaderHost = Optional.of(host);
+        state.noteContact();
+        state.resetElectionDeadline();
+    }
+
+    private void take(List<LogEntry> entries) {
+        for (LogEntry entry : entries) {
+            if (entry.index() <= state.log.baseIndex() || state.log.term(entry.index()) == entry.term()) {
+                continue;
+            }
+            if (entry.index() <= state.log.lastIndex()) {
+                state.truncateFrom(entry.index());
+            }
+            state.append(entry);
+        }
+    }
+
+    private long lastPossibleMatch(long previous) {
+        if (previous > state.log.lastIndex()) {
+            return state.log.lastIndex();
+        }
+        return Math.max(state.commitIndex, state.log.firstIndexOfTerm(previous) - 1);
+    }
+
+    private void answer(HostId host, AppendRequest request, boolean accepted, long index) {
+        state.sendAfterSync(
+                host,
+                new AppendResponse(
+                        state.headerTo(request.header().from()),
+                        accepted,
+                        request.previousIndex(),
+                        index,
+                        request.round()));
+    }
+
+    private void install(HostId host, SnapshotChunk chunk, Snapshot snapshot) {
+        Membership membership;
+        try {
+            membership = Membership.decode(snapshot.membership());
+        } catch (MalformedMessageException e) {
+            return;
+        }
+        boolean keepTail = state.log.term(snapshot.lastIndex()) == snapshot.lastTerm();
+        state.log.resetTo(snapshot.lastIndex(), snapshot.lastTerm());
+        state.memberships.resetTo(snapshot.lastIndex(), membership, keepTail);
+        state.commitIndex = snapshot.lastIndex();
+        state.snapshot = Optional.of(snapshot);
+        state.installed = Optional.of(snapshot);
+        accept(host, chunk);
+    }
+
+    private void accept(HostId host, SnapshotChunk chunk) {
+        state.sendAfterSync(
+                host,
+                new AppendResponse(
+                        state.headerTo(chunk.header().from()),
+                        true,
+                        chunk.lastIndex(),
+                        chunk.lastIndex(),
+                        chunk.round()));
+    }
+}
--- /dev/null
+++ b/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/consensus/SnapshotAssembly.java
@@ -0,0 +1,41 @@
+package dev.waxwinghead.coordination.consensus;
+
+import dev.waxwinghead.coordination.consensus.Message.SnapshotChunk;
+import dev.waxwinghead.coordination.storage.Snapshot;
+import java.io.ByteArrayOutputStream;
+
+/** Puts a snapshot together from its parts. Its memory grows with the bytes that came, not with a stated length. */
+final class SnapshotAssembly {
+    private final SnapshotChunk first;
+    private final ByteArrayOutputStream state = new ByteArrayOutputStream();
+
+    SnapshotAssembly(SnapshotChunk first) {
+        this.first = first;
+    }
+
+    boolean accepts(SnapshotChunk chunk) {
+        return chunk.header().from().equals(first.header().from())
+                && chunk.header().term() == first.header().term()
+                && chunk.lastIndex() == first.lastIndex()
+                && chunk.lastTerm() == first.lastTerm()
+                && chunk.totalBytes() == first.totalBytes();
+    }
+
+    void add(SnapshotChunk chunk) {
+        if (chunk.offset() == nextOffset()) {
+            state.write(chunk.data(), 0, chunk.data().length);
+        }
+    }
+
+    long nextOffset() {
+        return state.size();
+    }
+
+    boolean isComplete() {
+        return state.size() == first.totalBytes();
+    }
+
+    Snapshot toSnapshot() {
+        return new Snapshot(first.lastIndex(), first.lastTerm(), first.membership(), state.toByteArray());
+    }
+}
