--- a/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/consensus/MalformedMessageException.java
+++ b/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/consensus/MalformedMessageException.java
@@ -8,7 +8,12 @@
 public final class MalformedMessageException extends Exception {
     private static final long serialVersionUID = 1L;
 
-    MalformedMessageException(String message) {
+    /**
+     * Makes a report.
+     *
+     * @param message what is malformed
+     */
+    public MalformedMessageException(String message) {
         super(message);
     }
 
--- /dev/null
+++ b/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/replica/ReplicaView.java
@@ -0,0 +1,27 @@
+package dev.waxwinghead.coordination.replica;
+
+import dev.waxwinghead.coordination.consensus.ReplicaCore;
+import dev.waxwinghead.coordination.log.LogStatus;
+import dev.waxwinghead.model.id.HostId;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+
+/** Holds what other threads may see of the core. */
+record ReplicaView(
+        LogStatus.Role role,
+        long term,
+        Optional<HostId> leader,
+        long commitIndex,
+        OptionalLong lastContact,
+        List<LogStatus.Member> members) {
+    static ReplicaView of(ReplicaCore core) {
+        return new ReplicaView(
+                core.role(),
+                core.term(),
+                core.leader(),
+                core.commitIndex(),
+                core.lastContact(),
+                core.membership().members());
+    }
+}
--- /dev/null
+++ b/waxwinghead-coordination/src/test/java/dev/waxwinghead/coordination/replica/Cluster.java
@@ -0,0 +1,153 @@
+package dev.waxwinghead.coordination.replica;
+
+import dev.waxwinghead.coordination.log.StateMachine;
+import dev.waxwinghead.coordination.memory.MemoryStorage;
+import dev.waxwinghead.coordination.peer.PeerNetwork;
+import dev.waxwinghead.coordination.storage.ReplicaStorage;
+import dev.waxwinghead.model.id.HostId;
+import dev.waxwinghead.model.time.Deadline;
+import dev.waxwinghead.model.time.Ticker;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
+
+/** Runs replicas of a log of texts in this process. */
+final class Cluster implements AutoCloseable {
+    static final Duration PATIENCE = Duration.ofSeconds(20);
+
+    final MemoryNetwork network = new MemoryNetwork();
+    private final Map<HostId, Host> hosts = new TreeMap<>();
+    private final List<HostId> voters;
+    private final long snapshotInterval;
+
+    private Cluster(List<HostId> voters, long snapshotInterval) {
+        this.voters = voters;
+        this.snapshotInterval = snapshotInterval;
+    }
+
+    static Cluster start(int voters, int learners, long snapshotInterval) {
+        List<HostId> all = new ArrayList<>();
+        for (int i = 1; i <= voters + learners; i++) {
+            all.add(HostId.of("e" + i));
+        }
+        Cluster cluster = new Cluster(all.subList(0, voters), snapshotInterval);
+        all.forEach(host -> cluster.startEmpty(host));
+        return cluster;
+    }
+
+    Host startEmpty(HostId host) {
+        return start(host, MemoryStorage.create());
+    }
+
+    Host restart(HostId host) {
+        Host old = stop(host);
+        return start(host, ((MemoryStorage) old.storage()).reopenedAfterCrash());
+    }
+
+    Host start(HostId id, ReplicaStorage storage) {
+        PeerNetwork port = network.open(id);
+        Texts texts = new Texts();
+        ReplicaSettings settings = ReplicaSettings.of(id, "127.0.0.1:1", voters).withSnapshotInterval(snapshotInterval);
+        ReplicaNode node = ReplicaNode.start(settings, texts, storage, port, Ticker.system());
+        Host host = new Host(id, node, texts, storage, port);
+        hosts.put(id, host);
+        return host;
+    }
+
+    Host stop(HostId id) {
+        Host host = hosts.remove(id);
+        host.port().close();
+        host.node().close();
+        return host;
+    }
+
+    Host host(int number) {
+        return hosts.get(HostId.of("e" + number));
+    }
+
+    List<Host> hosts() {
+        return List.copyOf(hosts.values());
+    }
+
+    Host leader() {
+        await(() -> currentLeader().isPresent(), "a leader");
+        return currentLeader().orElseThrow();
+    }
+
+    Optional<Host> currentLeader() {
+        return hosts().stream()
+                .filter(h -> h.node().status().leader().equals(Optional.of(h.id())))
+                .max(Comparator.comparingLong(h -> h.node().status().term()));
+    }
+
+    static void await(BooleanSupplier condition, String what) {
+        Deadline deadline = Deadline.after(PATIENCE, Ticker.system());
+        while (!condition.getAsBoolean()) {
+            if (deadline.passed(Ticker.system())) {
+                throw new AssertionError("waited in vain for " + what);
+            }
+            try {
+                Thread.sleep(5);
+            } catch (InterruptedException e) {
+                throw new AssertionError(e);
+            }
+        }
+    }
+
+    @Override
+    public void close() {
+        hosts().forEach(host -> stop(host.id()));
+        network.close();
+    }
+
+    /** One host and what runs on it. */
+    record Host(HostId id, ReplicaNode node, Texts texts, ReplicaStorage storage, PeerNetwork port) {
+        CompletableFuture<byte[]> propose(String text) {
+            return propose(text, PATIENCE);
+        }
+
+        CompletableFuture<byte[]> propose(String text, Duration patience) {
+            return node.propose(text.getBytes(StandardCharsets.UTF_8), Deadline.after(patience, Ticker.system()));
+        }
+
+        CompletableFuture<Long> readBarrier(Duration patience) {
+            return node.readBarrier(Deadline.after(patience, Ticker.system()));
+        }
+
+        boolean votes() {
+            return node.status().members().stream().anyMatch(m -> m.replica().equals(storage.replicaId()) && m.voter());
+        }
+    }
+
+    /** Collects the texts that were applied. Its result is how many there are. */
+    static final class Texts implements StateMachine {
+        private List<String> texts = new ArrayList<>();
+
+        synchronized List<String> all() {
+            return List.copyOf(texts);
+        }
+
+        @Override
+        public synchronized byte[] apply(long index, byte[] command) {
+            texts.add(new String(command, StandardCharsets.UTF_8));
+            return Integer.toString(texts.size()).getBytes(StandardCharsets.UTF_8);
+        }
+
+        @Override
+        public synchronized byte[] snapshot() {
+            return String.join("\n", texts).getBytes(StandardCharsets.UTF_8);
+        }
+
+        @Override
+        public synchronized void restore(byte[] snapshot) {
+            texts = new ArrayList<>(List.of(new String(snapshot, StandardCharsets.UTF_8).split("\n")));
+        }
+    }
+}
