--- /dev/null
+++ b/waxwinghead-coordination/src/test/java/dev/waxwinghead/coordination/journal/FileReplicaStorageTests.java
@@ -0,0 +1,368 @@
+package dev.waxwinghead.coordination.journal;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+import static java.nio.charset.StandardCharsets.UTF_8;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import dev.waxwinghead.coordination.storage.HardState;
+import dev.waxwinghead.coordination.storage.LogEntry;
+import dev.waxwinghead.coordination.storage.ReplicaStorage.Recovered;
+import dev.waxwinghead.coordination.storage.Snapshot;
+import dev.waxwinghead.model.error.ErrorKind;
+import dev.waxwinghead.model.error.WaxwingheadException;
+import dev.waxwinghead.model.id.ReplicaId;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.LongStream;
+import java.util.stream.Stream;
+import org.apache.commons.rng.simple.RandomSource;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+class FileReplicaStorageTests {
+    private static final String CLUSTER = "seating";
+    private static final int SMALL_SEGMENT_BYTES = 150;
+    private static final HardState VOTED = new HardState(3, Optional.of(ReplicaId.of("r-1")));
+
+    @TempDir
+    private Path parent;
+
+    private Path folder;
+
+    @BeforeEach
+    void nameFolder() {
+        folder = parent.resolve("data");
+    }
+
+    static List<LogEntry> entries(long term, long from, long to) {
+        return LongStream.rangeClosed(from, to)
+                .mapToObj(index -> new LogEntry(
+                        index, term, LogEntry.Kind.COMMAND, ("entry " + index + " of " + term).getBytes(UTF_8)))
+                .toList();
+    }
+
+    static List<String> texts(List<LogEntry> entries) {
+        return entries.stream()
+                .map(entry -> entry.index() + ":" + entry.term() + ":" + new String(entry.payload(), UTF_8))
+                .toList();
+    }
+
+    private FileReplicaStorage open() {
+        return FileReplicaStorage.open(folder, CLUSTER);
+    }
+
+    private Recovered reopen() {
+        try (FileReplicaStorage storage = open()) {
+            return storage.recovered();
+        }
+    }
+
+    private void writeSynced(int segmentBytes, long from, long to) {
+        FileOperations files = new DefaultFileOperations();
+        try (FileReplicaStorage storage = FileReplicaStorage.open(folder, CLUSTER, segmentBytes, files)) {
+            storage.writeHardState(VOTED);
+            for (long index = from; index <= to; index++) {
+                storage.append(entries(3, index, index));
+                storage.sync();
+            }
+        }
+    }
+
+    private static Snapshot snapshot(long index, long term) {
+        return new Snapshot(index, term, "members".getBytes(UTF_8), ("state " + index).getBytes(UTF_8));
+    }
+
+    private Path newest(String prefix) throws IOException {
+        try (Stream<Path> files = Files.list(folder)) {
+            return files.filter(file -> file.getFileName().toString().startsWith(prefix))
+                    .max(Path::compareTo)
+                    .orElseThrow();
+        }
+    }
+
+    private WaxwingheadException refused() {
+        WaxwingheadException failure = assertThrows(WaxwingheadException.class, this::open);
+        assertThat(failure.kind()).isEqualTo(ErrorKind.STORAGE);
+        return failure;
+    }
+
+    /** Flips each byte of a file in turn and lets the check look at the folder. */
+    private void flipEach(Path file, FlipCheck check) throws IOException {
+        byte[] whole = Files.readAllBytes(file);
+        for (int offset = 0; offset < whole.length; offset++) {
+            byte[] flipped = whole.clone();
+            flipped[offset] ^= 0x10;
+            Files.write(file, flipped);
+            check.run(offset);
+        }
+        Files.write(file, whole);
+    }
+
+    private interface FlipCheck {
+        void run(int offset) throws IOException;
+    }
+
+    @Nested
+    class Keeping {
+        @Test
+        void givesBackWhatWasWritten() {
+            writeSynced(SMALL_SEGMENT_BYTES, 1, 20);
+
+            Recovered recovered = reopen();
+
+            assertThat(recovered.hardState()).isEqualTo(VOTED);
+            assertThat(texts(recovered.entries())).isEqualTo(texts(entries(3, 1, 20)));
+        }
+
+        @Test
+        void dropsAConflictingTail() {
+            writeSynced(SMALL_SEGMENT_BYTES, 1, 20);
+            try (FileReplicaStorage storage = open()) {
+                storage.append(entries(4, 7, 8));
+                storage.sync();
+            }
+
+            assertThat(texts(reopen().entries()))
+                    .isEqualTo(texts(Stream.concat(entries(3, 1, 6).stream(), entries(4, 7, 8).stream())
+                            .toList()));
+        }
+
+        @Test
+        void keepsItsIdentityUntilTheFolderIsEmptied() throws IOException {
+            ReplicaId first;
+            try (FileReplicaStorage storage = open()) {
+                first = storage.replicaId();
+                assertThat(storage.createdNow()).isTrue();
+            }
+            try (FileReplicaStorage storage = open()) {
+                assertThat(storage.replicaId()).isEqualTo(first);
+                assertThat(storage.createdNow()).isFalse();
+            }
+            for (String name : new DefaultFileOperations().list(folder)) {
+                Files.delete(folder.resolve(name));
+            }
+            try (FileReplicaStorage storage = open()) {
+                assertThat(storage.replicaId()).isNotEqualTo(first);
+                assertThat(storage.createdNow()).isTrue();
+            }
+        }
+
+        @Test
+        void refusesASecondUserOfTheFolder() {
+            try (FileReplicaStorage storage = open()) {
+                assertThat(storage.createdNow()).isTrue();
+                assertThat(refused()).hasMessageThat().contains("in use");
+            }
+        }
+
+        @Test
+        void refusesTheFolderOfAnotherCluster() {
+            writeSynced(SMALL_SEGMENT_BYTES, 1, 1);
+
+            WaxwingheadException failure =
+                    assertThrows(WaxwingheadException.class, () -> FileReplicaStorage.open(folder, "strings"));
+
+            assertThat(failure).hasMessageThat().contains("belongs to cluster 'seating', not to 'strings'");
+        }
+    }
+
+    @Nested
+    class Snapshots {
+        @Test
+        void replaceTheEntriesTheyContain() throws IOException {
+            writeSynced(SMALL_SEGMENT_BYTES, 1, 20);
+            try (FileReplicaStorage storage = open()) {
+                storage.writeSnapshot(snapshot(10, 3));
+                storage.writeSnapshot(snapshot(12, 3));
+            }
+
+            Recovered recovered = reopen();
+
+            assertThat(recovered.snapshot().orElseThrow().lastIndex()).isEqualTo(12);
+            assertThat(recovered.hardState()).isEqualTo(VOTED);
+            assertThat(texts(recovered.entries())).isEqualTo(texts(entries(3, 13, 20)));
+            List<String> names = new DefaultFileOperations().list(folder);
+            assertThat(names.stream().filter(SnapshotFile::isSnapshot)).hasSize(1);
+            assertThat(names).doesNotContain("segment-00000000000000000001");
+        }
+
+        @Test
+        void dropAllEntriesThatTheyContradict() {
+            writeSynced(SMALL_SEGMENT_BYTES, 1, 20);
+            try (FileReplicaStorage storage = open()) {
+                storage.writeSnapshot(snapshot(10, 2));
+                storage.append(entries(5, 11, 12));
+                storage.sync();
+            }
+
+            assertThat(texts(reopen().entries())).isEqualTo(texts(entries(5, 11, 12)));
+        }
+
+        @Test
+        void areRefusedWhenAnyByteIsFlipped() throws IOException {
+            writeSynced(SMALL_SEGMENT_BYTES, 1, 20);
+            try (FileReplicaStorage storage = open()) {
+                storage.writeSnapshot(snapshot(12, 3));
+            }
+            Path file = newest(SnapshotFile.PREFIX);
+
+            flipEach(file, offset -> assertThat(refused()).hasMessageThat().contains(file.toString()));
+        }
+
+        @Test
+        void areMissedWhenTheLogBeginsAfterThem() throws IOException {
+            writeSynced(SMALL_SEGMENT_BYTES, 1, 20);
+            try (FileReplicaStorage storage = open()) {
+                storage.writeSnapshot(snapshot(12, 3));
+            }
+            Files.delete(newest(SnapshotFile.PREFIX));
+
+            assertThat(refused()).hasMessageThat().contains("the snapshot before them is missing");
+        }
+    }
+
+    @Nested
+    class Damage {
+        @Test
+        void cutsATornTailAtEveryByte() throws IOException {
+            writeSynced(1 << 20, 1, 5);
+            Path file = newest(SegmentHeader.PREFIX);
+            int synced = (int) Files.size(file);
+            Path mark = folder.resolve(SyncMark.FILE);
+            byte[] syncedMark = Files.readAllBytes(mark);
+            try (FileReplicaStorage storage = open()) {
+                storage.append(entries(3, 6, 8));
+            }
+            byte[] whole = Files.readAllBytes(file);
+            int record = (whole.length - synced) / 3;
+            for (int length = synced; length < whole.length; length++) {
+                Files.write(file, Arrays.copyOf(whole, length));
+                Files.write(mark, syncedMark);
+
+                List<String> kept = texts(reopen().entries());
+
+                assertThat(kept).isEqualTo(texts(entries(3, 1, 5 + (length - synced) / record)));
+            }
+        }
+
+        @Test
+        void refusesASyncedTailThatIsMissing() throws IOException {
+            writeSynced(1 << 20, 1, 5);
+            Path file = newest(SegmentHeader.PREFIX);
+            byte[] whole = Files.readAllBytes(file);
+            for (int length = 0; length < whole.length; length++) {
+                Files.write(file, Arrays.copyOf(whole, length));
+
+                assertThat(refused()).hasMessageThat().contains(file.toString());
+            }
+        }
+
+        @Test
+        void refusesAFlippedByteAnywhereInASyncedSegment() throws IOException {
+            writeSynced(SMALL_SEGMENT_BYTES, 1, 8);
+            for (String name : new DefaultFileOperations().list(folder)) {
+                if (SegmentHeader.isSegment(name)) {
+                    Path file = folder.resolve(name);
+                    flipEach(
+                            file,
+                            offset -> assertThat(refused())
+                                    .hasMessageThat()
+                                    .containsMatch("\\Q" + file
+                                            + "\\E is damaged at byte \\d+.*empty this host's data folder"));
+                }
+            }
+        }
+
+        @Test
+        void cutsOnlyTheLastSyncWhenTheMarkIsLostWithIt() throws IOException {
+            writeSynced(1 << 20, 1, 5);
+            Path file = newest(SegmentHeader.PREFIX);
+            long lastRecord =
+                    Files.size(file) - RecordFormat.entryBytes(entries(3, 5, 5).get(0));
+            byte[] whole = Files.readAllBytes(file);
+            flipEach(file, offset -> {
+                Files.delete(folder.resolve(SyncMark.FILE));
+                if (offset < lastRecord) {
+                    refused();
+                    Files.write(folder.resolve(SyncMark.FILE), new byte[0]);
+                } else {
+                    assertThat(texts(reopen().entries())).isEqualTo(texts(entries(3, 1, 4)));
+                }
+            });
+            assertThat(whole).isEqualTo(Files.readAllBytes(file));
+        }
+
+        @Test
+        void refusesAMissingSegment() throws IOException {
+            writeSynced(SMALL_SEGMENT_BYTES, 1, 20);
+            Files.delete(newest(SegmentHeader.PREFIX));
+
+            assertThat(refused()).hasMessageThat().contains("the newest of the log, is missing");
+        }
+
+        @Test
+        void refusesALogWithoutItsIdentity() throws IOException {
+            writeSynced(SMALL_SEGMENT_BYTES, 1, 2);
+            flipEach(folder.resolve(Identity.FILE), offset -> refused());
+            Files.delete(folder.resolve(Identity.FILE));
+
+            assertThat(refused()).hasMessageThat().contains("no identity file");
+        }
+    }
+
+    @Nested
+    class Failures {
+        private final FaultyFileOperations files =
+                new FaultyFileOperations(RandomSource.SPLIT_MIX_64.create(7L), Integer.MAX_VALUE);
+
+        @Test
+        void stopEverythingAfterAFailedSync() {
+            try (FileReplicaStorage storage = FileReplicaStorage.open(folder, CLUSTER, 1 << 20, files)) {
+                storage.append(entries(1, 1, 1));
+                files.failNextForce();
+
+                WaxwingheadException first = assertThrows(WaxwingheadException.class, storage::sync);
+                WaxwingheadException second = assertThrows(WaxwingheadException.class, storage::sync);
+
+                assertThat(first).hasMessageThat().contains("Input/output error; check free space");
+                assertThat(second).hasMessageThat().contains("stopped after a failure");
+                assertThrows(WaxwingheadException.class, () -> storage.append(entries(1, 2, 2)));
+                assertThrows(WaxwingheadException.class, () -> storage.writeHardState(VOTED));
+                assertThrows(WaxwingheadException.class, () -> storage.writeSnapshot(snapshot(1, 1)));
+            }
+        }
+
+        @Test
+        void leaveWhatWasSyncedWhenTheDiskIsFull() {
+            try (FileReplicaStorage storage = FileReplicaStorage.open(folder, CLUSTER, 1 << 20, files)) {
+                storage.append(entries(1, 1, 3));
+                storage.sync();
+                files.failAfter(0);
+                WaxwingheadException failure =
+                        assertThrows(WaxwingheadException.class, () -> storage.append(entries(1, 4, 9)));
+                assertThat(failure).hasMessageThat().contains("No space left on device");
+            }
+
+            List<String> kept = texts(reopen().entries());
+
+            assertThat(kept).containsAtLeastElementsIn(texts(entries(1, 1, 3))).inOrder();
+            assertThat(texts(entries(1, 1, 9))).containsAtLeastElementsIn(kept).inOrder();
+        }
+    }
+
+    @Test
+    void losesNothingSyncedWhenKilledAtAnyOperation() throws IOException {
+        int kills = 0;
+        for (long seed = 1; seed <= 100; seed++) {
+            kills += JournalKillHistory.run(parent.resolve("seed-" + seed), seed);
+        }
+        assertWithMessage("kills").that(kills).isAtLeast(500);
+    }
+}
