Add the TCP network between entry hosts and a relay that breaks connections

Each host dials every other one and sends its messages and calls on that connection; answers come back on it. Weighed against one connection a pair: no dispute over which of two to keep, and a host that joins reaches the others before they know its address. Cost: two connections and four threads a peer, 41 threads at 11 hosts.

A connection on which nothing arrives for 1 s is closed by whichever side notices, and dialled anew. Frames are numbered, so repeated and reordered ones are noticed; a frame waits for at most one frame of each other channel.

Proof: TcpPeerNetworkTests and OutboxTests, 14 tests, through the relay where a connection is to fail.

--- /dev/null
+++ b/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/tcp/PendingCall.java
@@ -0,0 +1,84 @@
+package dev.waxwinghead.coordination.tcp;
+
+import dev.waxwinghead.coordination.peer.PeerChannel;
+import dev.waxwinghead.model.error.ErrorKind;
+import dev.waxwinghead.model.error.WaxwingheadException;
+import dev.waxwinghead.model.id.HostId;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicReference;
+
+/** Follows a call from its queueing to its answer, and so knows whether it was surely not sent. */
+final class PendingCall implements Outgoing {
+    private final HostId to;
+    private final Frame.Call call;
+    private final CompletableFuture<byte[]> answer = new CompletableFuture<>();
+    private final AtomicReference<State> state = new AtomicReference<>(State.QUEUED);
+
+    PendingCall(HostId to, PeerChannel channel, long id, byte[] request) {
+        this.to = to;
+        this.call = new Frame.Call(channel, id, request);
+    }
+
+    CompletableFuture<byte[]> answer() {
+        return answer;
+    }
+
+    /** Runs an action once the call has ended. */
+    void onEnd(Runnable action) {
+        CompletableFuture<byte[]> unused = answer.whenComplete((payload, failure) -> action.run());
+    }
+
+    long id() {
+        return call.id();
+    }
+
+    @Override
+    public Frame.OnChannel frame() {
+        return call;
+    }
+
+    @Override
+    public boolean droppable() {
+        return false;
+    }
+
+    @Override
+    public boolean claim() {
+        return state.compareAndSet(State.QUEUED, State.SENT);
+    }
+
+    /** Ends the call without an answer; whether it was sent decides the kind of the failure. */
+    @Override
+    public void abandon(String reason) {
+        State before = state.getAndSet(State.ENDED);
+        if (before == State.QUEUED) {
+            answer.completeExceptionally(WaxwingheadException.of(
+                    ErrorKind.UNAVAILABLE,
+                    "the call to " + to + " was not sent: " + reason,
+                    "repeat it later or on another host"));
+        } else if (before == State.SENT) {
+            answer.completeExceptionally(WaxwingheadException.of(
+                    ErrorKind.UNKNOWN_OUTCOME,
+                    "the call to " + to + " was sent and not answered: " + reason,
+                    "find out whether it took effect before repeating it"));
+        }
+    }
+
+    void succeed(byte[] payload) {
+        state.set(State.ENDED);
+        answer.complete(payload);
+    }
+
+    void fail(Frame.Failure failure) {
+        state.set(State.ENDED);
+        ErrorKind kind = ErrorKind.ofCode(failure.code());
+        answer.completeExceptionally(WaxwingheadException.of(kind, failure.message(), failure.remedy()));
+    }
+
+    /** Lists how far a call has come. */
+    private enum State {
+        QUEUED,
+        SENT,
+        ENDED
+    }
+}
--- /dev/null
+++ b/waxwinghead-testkit/src/main/java/dev/waxwinghead/testkit/relay/RelayedConnection.java
@@ -0,0 +1,93 @@
+package dev.waxwinghead.testkit.relay;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.util.concurrent.Executor;
+
+/** Copies the bytes of one connection in both directions. */
+final class RelayedConnection implements AutoCloseable {
+    private static final int BUFFER_BYTES = 16 << 10;
+
+    private final Socket client;
+    private final Socket server = new Socket();
+    private final RelayGate gate;
+    private volatile boolean forgotten;
+
+    private RelayedConnection(Socket client, RelayGate gate) {
+        this.client = client;
+        this.gate = gate;
+    }
+
+    static RelayedConnection of(Socket client, RelayGate gate) throws IOException {
+        client.setTcpNoDelay(true);
+        return new RelayedConnection(client, gate);
+    }
+
+    /** Loses all further bytes and the end of the connection too. */
+    void forget() {
+        forgotten = true;
+    }
+
+    boolean closed() {
+        return client.isClosed() && server.isClosed();
+    }
+
+    void run(InetSocketAddress target, Executor executor) {
+        try {
+            gate.awaitThawed();
+            server.setTcpNoDelay(true);
+            server.connect(target);
+            executor.execute(() -> copy(server, client));
+            copy(client, server);
+        } catch (IOException e) {
+            endUnlessForgotten();
+        } catch (InterruptedException e) {
+            close();
+        }
+    }
+
+    private void copy(Socket from, Socket to) {
+        byte[] buffer = new byte[BUFFER_BYTES];
+        try {
+            InputStream input = from.getInputStream();
+            OutputStream output = to.getOutputStream();
+            int length = input.read(buffer);
+            while (length >= 0) {
+                gate.awaitThawed();
+                if (!forgotten) {
+                    output.write(buffer, 0, length);
+                }
+                length = input.read(buffer);
+            }
+            gate.awaitThawed();
+            endUnlessForgotten();
+        } catch (IOException e) {
+            endUnlessForgotten();
+        } catch (InterruptedException e) {
+            close();
+        }
+    }
+
+    private void endUnlessForgotten() {
+        if (!forgotten) {
+            close();
+        }
+    }
+
+    @Override
+    public void close() {
+        closeQuietly(client);
+        closeQuietly(server);
+    }
+
+    private static void closeQuietly(Socket socket) {
+        try {
+            socket.close();
+        } catch (IOException e) {
+            return; // It is closed as far as it can be.
+        }
+    }
+}
--- /dev/null
+++ b/waxwinghead-testkit/src/main/java/dev/waxwinghead/testkit/relay/TcpRelay.java
@@ -0,0 +1,163 @@
+package dev.waxwinghead.testkit.relay;
+
+import dev.waxwinghead.model.error.ErrorKind;
+import dev.waxwinghead.model.error.WaxwingheadException;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.atomic.AtomicLong;
+
+/**
+ * Passes TCP connections on to a target and brings about the failures of a network between the two.
+ *
+ * <p>Four failures can be brought about: {@link #cut()} closes all connections and refuses new ones, {@link #drop()}
+ * lets them hang in silence, {@link #freeze()} holds all bytes back until {@link #heal()}, and
+ * {@link #forgetEstablished()} silences the connections of now for good while new ones work. All methods may be called
+ * from any thread.
+ *
+ * @since 0.1
+ */
+public final class TcpRelay implements AutoCloseable {
+    private final InetSocketAddress target;
+    private final ServerSocket server;
+    private final ExecutorService executor = Executors.newCachedThreadPool(TcpRelay::daemonThread);
+    private final Set<RelayedConnection> connections = ConcurrentHashMap.newKeySet();
+    private final RelayGate gate = new RelayGate();
+    private final AtomicLong accepted = new AtomicLong();
+    private final AtomicLong failedAccepts = new AtomicLong();
+
+    private TcpRelay(InetSocketAddress target, ServerSocket server) {
+        this.target = target;
+        this.server = server;
+    }
+
+    /**
+     * Opens a relay.
+     *
+     * @param listen where to accept connections; port 0 picks a free one
+     * @param target where to pass them on to; need not listen yet
+     * @return the relay, never null
+     * @throws WaxwingheadException of kind {@code UNAVAILABLE} if the port can't be opened
+     */
+    public static TcpRelay open(InetSocketAddress listen, InetSocketAddress target) {
+        try {
+            ServerSocket server = new ServerSocket();
+            server.setReuseAddress(true);
+            server.bind(listen);
+            TcpRelay relay = new TcpRelay(target, server);
+            relay.executor.execute(relay::acceptAll);
+            return relay;
+        } catch (IOException e) {
+            throw WaxwingheadException.of(
+                    ErrorKind.UNAVAILABLE,
+                    "can't listen on " + listen + ": " + e.getMessage(),
+                    "free the port or give another one",
+                    e);
+        }
+    }
+
+    /**
+     * Returns where the relay accepts connections.
+     *
+     * @return the address with the port in use, never null
+     */
+    public InetSocketAddress address() {
+        return (InetSocketAddress) server.getLocalSocketAddress();
+    }
+
+    /** Closes all connections and refuses new ones until {@link #heal()}. */
+    public void cut() {
+        gate.set(RelayGate.Mode.REFUSING);
+        connections.forEach(RelayedConnection::close);
+    }
+
+    /** Loses all bytes of all connections, established and new, without closing any, until {@link #heal()}. */
+    public void drop() {
+        gate.set(RelayGate.Mode.DROPPING);
+        connections.forEach(RelayedConnection::forget);
+    }
+
+    /** Holds back all bytes of all connections, established and new, until {@link #heal()}. */
+    public void freeze() {
+        gate.set(RelayGate.Mode.FROZEN);
+    }
+
+    /** Loses all further bytes of the connections of now, without closing them. New ones work. */
+    public void forgetEstablished() {
+        connections.forEach(RelayedConnection::forget);
+    }
+
+    /** Ends a cut, a freeze or a drop. Connections that lost bytes stay silent. */
+    public void heal() {
+        gate.set(RelayGate.Mode.PASSING);
+    }
+
+    /**
+     * Returns how many connections were accepted.
+     *
+     * @return the number
+     */
+    public long acceptedConnections() {
+        return accepted.get();
+    }
+
+    /**
+     * Returns how many connections failed before they were accepted.
+     *
+     * @return the number
+     */
+    public long failedAccepts() {
+        return failedAccepts.get();
+    }
+
+    private void acceptAll() {
+        while (!server.isClosed()) {
+            try {
+                accept(server.accept());
+            } catch (IOException e) {
+                failedAccepts.incrementAndGet();
+            }
+        }
+    }
+
+    private void accept(Socket client) throws IOException {
+        accepted.incrementAndGet();
+        if (gate.mode() == RelayGate.Mode.REFUSING) {
+            client.close();
+            return;
+        }
+        RelayedConnection connection = RelayedConnection.of(client, gate);
+        connections.add(connection);
+        if (gate.mode() == RelayGate.Mode.DROPPING) {
+            connection.forget();
+        }
+        executor.execute(() -> {
+            connection.run(target, executor);
+            connections.removeIf(RelayedConnection::closed);
+        });
+    }
+
+    @Override
+    public void close() {
+        try {
+            server.close();
+        } catch (IOException e) {
+            throw WaxwingheadException.of(ErrorKind.INTERNAL, "the relay can't be closed", "see the cause", e);
+        } finally {
+            connections.forEach(RelayedConnection::close);
+            gate.set(RelayGate.Mode.REFUSING);
+            executor.shutdownNow();
+        }
+    }
+
+    private static Thread daemonThread(Runnable task) {
+        Thread thread = new Thread(task, "tcp-relay");
+        thread.setDaemon(true);
+        return thread;
+    }
+}
