Forward callers' requests to announced upstreams

Announcements are leases on the receiver's monotonic clock; entry hosts ask each other every 400 ms and count a lease from when the question was sent, so a delay can only shorten it. Leaving is told at once besides. A request goes to the cheaper of two upstreams drawn at random, own data centre first, or waits in a fair queue bounded by deadlines.

Bodies up to 64 KiB are gathered before the caller sees anything; longer ones and feeds are piped without holding a thread, and a break closes the caller's connection (the exchange's stream is swapped for one that fails to close, as closing a chunked exchange would end it as if whole).

--- /dev/null
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/callers/CallDispatcher.java
@@ -0,0 +1,232 @@
+package dev.waxwinghead.daemon.callers;
+
+import dev.waxwinghead.daemon.upstreams.UpstreamRegistry;
+import dev.waxwinghead.model.error.ErrorKind;
+import dev.waxwinghead.model.error.WaxwingheadException;
+import dev.waxwinghead.model.id.ServiceName;
+import dev.waxwinghead.model.time.Deadline;
+import dev.waxwinghead.model.time.Ticker;
+import dev.waxwinghead.scheduling.limits.FairQueue;
+import dev.waxwinghead.scheduling.limits.RequestLimits;
+import dev.waxwinghead.scheduling.retry.AttemptEnd;
+import dev.waxwinghead.scheduling.retry.RetryPolicy;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * Takes requests to upstreams: at once where a slot is free, else through a queue that is fair and bounded by the
+ * requests' deadlines.
+ *
+ * <p>The lock of this object guards the queues; the table's lock is taken inside it. Neither is held while a request is
+ * sent or answered.
+ */
+final class CallDispatcher {
+    private final UpstreamRegistry registry;
+    private final UpstreamTable table;
+    private final UpstreamSender sender;
+    private final RequestLimits limits;
+    private final RetryPolicy retries;
+    private final Ticker ticker;
+    private final CallerMeters meters;
+    private final Map<ServiceName, FairQueue<Call>> queues = new HashMap<>();
+    private final AnswerHandler answers;
+
+    private CallDispatcher(
+            UpstreamRegistry registry,
+            UpstreamTable table,
+            UpstreamSender sender,
+            RequestLimits limits,
+            RetryPolicy retries,
+            Ticker ticker,
+            CallerMeters meters,
+            AnswerHandler answers) {
+        this.registry = registry;
+        this.table = table;
+        this.sender = sender;
+        this.limits = limits;
+        this.retries = retries;
+        this.ticker = ticker;
+        this.meters = meters;
+        this.answers = answers;
+    }
+
+    /** Receives the end of each call. */
+    interface AnswerHandler {
+        /** Passes an answer on; the reservation is to be released once the body has ended. */
+        void answered(Call call, UpstreamAnswer answer, UpstreamTable.Reservation reservation);
+
+        /** Refuses a call. */
+        void refused(Call call, WaxwingheadException failure);
+    }
+
+    static CallDispatcher create(
+            UpstreamRegistry registry,
+            UpstreamTable table,
+            UpstreamSender sender,
+            RequestLimits limits,
+            RetryPolicy retries,
+            Ticker ticker,
+            CallerMeters meters,
+            AnswerHandler answers) {
+        return new CallDispatcher(registry, table, sender, limits, retries, ticker, meters, answers);
+    }
+
+    /** Sends a call to an upstream now, or later, or refuses it. */
+    void dispatch(Call call) {
+        Optional<UpstreamTable.Reservation> reservation;
+        Optional<WaxwingheadException> refusal = Optional.empty();
+        synchronized (this) {
+            FairQueue<Call> queue = queues.get(call.request().service());
+            boolean othersWait = queue != null && queue.size() > 0;
+            reservation = othersWait ? Optional.empty() : table.reserve(call.request(), call.tried());
+            if (reservation.isEmpty()) {
+                refusal = enqueue(call);
+            }
+        }
+        reservation.ifPresent(slot -> attempt(call, slot));
+        refusal.ifPresent(failure -> answers.refused(call, failure));
+    }
+
+    /** Sends waiting calls for which there is a slot. */
+    void drainQueues() {
+        List<ServiceName> services;
+        synchronized (this) {
+            services = new ArrayList<>(queues.keySet());
+        }
+        services.forEach(this::drainQueue);
+    }
+
+    /** Refuses the waiting calls that can't be answered in time any more. */
+    void removeLate() {
+        List<Call> late = new ArrayList<>();
+        synchronized (this) {
+            queues.forEach((service, queue) -> late.addAll(
+                    queue.removeLate(ticker.nanos() + table.throughput(service).serviceNanos())));
+            queues.values().removeIf(queue -> queue.size() == 0);
+        }
+        late.forEach(call -> answers.refused(call, deadlineExceeded(call)));
+    }
+
+    synchronized int waiting() {
+        return queues.values().stream().mapToInt(FairQueue::size).sum();
+    }
+
+    private Optional<WaxwingheadException> enqueue(Call call) {
+        CallRequest request = call.request();
+        UpstreamTable.Throughput throughput = table.throughput(request.service());
+        if (throughput.upstreams() == 0) {
+            return Optional.of(noUpstream(request));
+        }
+        FairQueue<Call> queue = queues.computeIfAbsent(request.service(), service -> FairQueue.create());
+        String flow = request.tenant() + "/" + request.trafficClass();
+        double weight = limits.weight(request.tenant(), request.trafficClass());
+        long wait = throughput.waitNanos(queue.ahead(flow, weight));
+        long needed = wait + throughput.serviceNanos();
+        if (needed > request.deadline().remaining(ticker).toNanos()) {
+            return Optional.of(WaxwingheadException.of(
+                    ErrorKind.LIMITED,
+                    "the queue of service " + request.service() + " is about "
+                            + Duration.ofNanos(needed).toMillis() + " ms long, which is past the deadline",
+                    "send it again later or with a later deadline"));
+        }
+        queue.add(flow, weight, call, request.deadline().nanos());
+        return Optional.empty();
+    }
+
+    private WaxwingheadException noUpstream(CallRequest request) {
+        if (registry.knows(request.service())) {
+            return WaxwingheadException.of(
+                    ErrorKind.UNAVAILABLE,
+                    "no upstream of service " + request.service() + " takes requests",
+                    "send it again later; operators: list the upstreams");
+        }
+        return WaxwingheadException.of(
+                ErrorKind.NOT_FOUND,
+                "service " + request.service() + " is unknown here",
+                "check the service's name and that its upstreams announce themselves");
+    }
+
+    /** Sends waiting calls of a service for which there is a slot. */
+    void drainQueue(ServiceName service) {
+        while (true) {
+            Call call;
+            Optional<UpstreamTable.Reservation> reservation;
+            synchronized (this) {
+                FairQueue<Call> queue = queues.get(service);
+                if (queue == null || queue.size() == 0) {
+                    return;
+                }
+                Optional<Call> next = queue.peek();
+                call = next.orElseThrow();
+                reservation = table.reserve(call.request(), call.tried());
+                if (reservation.isEmpty()) {
+                    return;
+                }
+                queue.poll();
+            }
+            attempt(call, reservation.orElseThrow());
+        }
+    }
+
+    private void attempt(Call call, UpstreamTable.Reservation reservation) {
+        CallRequest request = call.request();
+        Duration remaining = request.deadline().remaining(ticker);
+        Duration time = RetryPolicy.attemptTime(request.kind().idempotent(), call.attempts(), remaining);
+        call.startAttempt(reservation.upstream().id());
+        sender.send(request, reservation.upstream(), Deadline.after(time, ticker))
+                .thenAccept(result -> ended(call, reservation, result))
+                .exceptionally(failure -> {
+                    reservation.abandoned();
+                    answers.refused(call, WaxwingheadException.from(failure));
+                    return null;
+                });
+    }
+
+    private void ended(Call call, UpstreamTable.Reservation reservation, AttemptResult result) {
+        meters.attempt(result.end());
+        if (result.end() == AttemptEnd.ANSWERED) {
+            answers.answered(call, result.answer(), reservation);
+            return;
+        }
+        if (result.end() == AttemptEnd.NOT_RUN) {
+            reservation.abandoned();
+        } else {
+            reservation.failed();
+        }
+        call.attemptFailed(result);
+        Duration remaining = call.request().deadline().remaining(ticker);
+        if (retries.resend(call.request().kind().idempotent(), result.end(), call.attempts(), remaining)) {
+            dispatch(call);
+        } else {
+            answers.refused(call, failure(call, result.end()));
+        }
+        drainQueue(call.request().service());
+    }
+
+    private static WaxwingheadException failure(Call call, AttemptEnd end) {
+        if (end == AttemptEnd.TIMED_OUT) {
+            return deadlineExceeded(call);
+        }
+        if (call.mayHaveRun()) {
+            return WaxwingheadException.of(
+                    ErrorKind.UNKNOWN_OUTCOME,
+                    "whether the request ran can't be told: " + call.reason(),
+                    call.request().key().isPresent()
+                            ? "send it again with the same key"
+                            : "check its effect before sending it again");
+        }
+        return WaxwingheadException.of(
+                ErrorKind.UNAVAILABLE, "the request was not run: " + call.reason(), "send it again");
+    }
+
+    private static WaxwingheadException deadlineExceeded(Call call) {
+        return WaxwingheadException.of(
+                ErrorKind.DEADLINE_EXCEEDED,
+                call.reason().isEmpty() ? "the deadline passed while the request waited" : call.reason(),
+                "send it again with a later deadline");
+    }
+}
--- /dev/null
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/callers/CallRequest.java
@@ -0,0 +1,176 @@
+package dev.waxwinghead.daemon.callers;
+
+import com.sun.net.httpserver.Headers;
+import com.sun.net.httpserver.HttpExchange;
+import dev.waxwinghead.daemon.http.JsonExchange;
+import dev.waxwinghead.model.error.ErrorKind;
+import dev.waxwinghead.model.error.WaxwingheadException;
+import dev.waxwinghead.model.id.RequestKey;
+import dev.waxwinghead.model.id.ServiceName;
+import dev.waxwinghead.model.id.TenantId;
+import dev.waxwinghead.model.id.TrafficClass;
+import dev.waxwinghead.model.time.Deadline;
+import dev.waxwinghead.model.time.Ticker;
+import java.io.IOException;
+import java.net.URI;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/** Holds one caller's request with its whole body. Immutable. */
+final class CallRequest {
+    static final String PREFIX = "/call/";
+
+    private static final long DEFAULT_DEADLINE_MILLIS = 10_000;
+    private static final long LONGEST_DEADLINE_MILLIS = 3_600_000;
+    private static final Set<String> METHODS = Set.of("GET", "HEAD", "OPTIONS", "POST", "PUT", "PATCH", "DELETE");
+    private static final Set<String> RESENT_BY_CLIENT = Set.of("GET", "HEAD");
+
+    private final ServiceName service;
+    private final TenantId tenant;
+    private final TrafficClass trafficClass;
+    private final CallKind kind;
+    private final Optional<RequestKey> key;
+    private final String method;
+    private final String target;
+    private final Map<String, List<String>> headers;
+    private final byte[] body;
+    private final long receivedAt;
+    private final Deadline deadline;
+
+    private CallRequest(HttpExchange exchange, long receivedAt) throws IOException {
+        Headers given = exchange.getRequestHeaders();
+        String[] parts = split(exchange.getRequestURI());
+        this.receivedAt = receivedAt;
+        this.method = exchange.getRequestMethod();
+        this.service = ServiceName.of(parts[0]);
+        this.target = parts[1];
+        this.tenant = TenantId.of(
+                given.getFirst(HeaderRules.TENANT) == null ? "default" : given.getFirst(HeaderRules.TENANT));
+        this.trafficClass = TrafficClass.of(
+                given.getFirst(HeaderRules.CLASS) == null ? "default" : given.getFirst(HeaderRules.CLASS));
+        this.key = Optional.ofNullable(given.getFirst(HeaderRules.KEY)).map(RequestKey::of);
+        this.kind = CallKind.of(given.getFirst(HeaderRules.KIND), key.isPresent(), method);
+        this.deadline = new Deadline(receivedAt
+                + Duration.ofMillis(deadlineMillis(given.getFirst(HeaderRules.DEADLINE)))
+                        .toNanos());
+        checkMethod();
+        checkKey();
+        this.headers = HeaderRules.toUpstream(given);
+        this.body = readBody(exchange);
+    }
+
+    /**
+     * Reads the request of an exchange, its whole body included.
+     *
+     * @throws IOException if the body is cut off
+     * @throws WaxwingheadException if a header is malformed or the body is too large
+     */
+    static CallRequest read(HttpExchange exchange, Ticker ticker) throws IOException {
+        return new CallRequest(exchange, ticker.nanos());
+    }
+
+    ServiceName service() {
+        return service;
+    }
+
+    TenantId tenant() {
+        return tenant;
+    }
+
+    TrafficClass trafficClass() {
+        return trafficClass;
+    }
+
+    CallKind kind() {
+        return kind;
+    }
+
+    Optional<RequestKey> key() {
+        return key;
+    }
+
+    String method() {
+        return method;
+    }
+
+    /** Returns the path and query as the upstream is to see them. */
+    String target() {
+        return target;
+    }
+
+    /** Returns the end-to-end headers. */
+    Map<String, List<String>> headers() {
+        return headers;
+    }
+
+    byte[] body() {
+        return body;
+    }
+
+    long receivedAt() {
+        return receivedAt;
+    }
+
+    Deadline deadline() {
+        return deadline;
+    }
+
+    private static String[] split(URI uri) {
+        String path = uri.getRawPath().substring(PREFIX.length());
+        int slash = path.indexOf('/');
+        String service = slash < 0 ? path : path.substring(0, slash);
+        String rest = slash < 0 ? "/" : path.substring(slash);
+        String query = uri.getRawQuery() == null ? "" : "?" + uri.getRawQuery();
+        return new String[] {service, rest + query};
+    }
+
+    private static long deadlineMillis(String text) {
+        if (text == null) {
+            return DEFAULT_DEADLINE_MILLIS;
+        }
+        try {
+            long millis = Long.parseLong(text.trim());
+            if (millis >= 1 && millis <= LONGEST_DEADLINE_MILLIS) {
+                return millis;
+            }
+        } catch (NumberFormatException e) {
+            throw invalid("Waxwinghead-Deadline-Ms is '" + text + "'", "give milliseconds from 1 to 3600000");
+        }
+        throw invalid("Waxwinghead-Deadline-Ms is " + text, "give milliseconds from 1 to 3600000");
+    }
+
+    private void checkMethod() {
+        if (!METHODS.contains(method)) {
+            throw invalid(
+                    "the method is " + method,
+                    "use " + METHODS.stream().sorted().toList());
+        }
+    }
+
+    private void checkKey() {
+        if (kind == CallKind.KEYED && key.isEmpty()) {
+            throw invalid("a keyed request has no key", "send the header Idempotency-Key");
+        }
+        if (kind == CallKind.KEYED && RESENT_BY_CLIENT.contains(method)) {
+            throw invalid("a keyed request has the method " + method, "use POST, PUT, PATCH or DELETE");
+        }
+    }
+
+    private static byte[] readBody(HttpExchange exchange) throws IOException {
+        byte[] bytes = exchange.getRequestBody().readNBytes(JsonExchange.MAX_BODY_BYTES + 1);
+        if (bytes.length > JsonExchange.MAX_BODY_BYTES) {
+            throw WaxwingheadException.of(
+                    ErrorKind.TOO_LARGE,
+                    "the body has more than " + JsonExchange.MAX_BODY_BYTES + " bytes",
+                    "split it into smaller requests");
+        }
+        return bytes;
+    }
+
+    private static WaxwingheadException invalid(String message, String remedy) {
+        return WaxwingheadException.of(ErrorKind.INVALID_INPUT, message, remedy);
+    }
+}
--- /dev/null
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/callers/CallerHandler.java
@@ -0,0 +1,205 @@
+package dev.waxwinghead.daemon.callers;
+
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpHandler;
+import dev.waxwinghead.model.error.ErrorKind;
+import dev.waxwinghead.model.error.WaxwingheadException;
+import dev.waxwinghead.model.time.Deadline;
+import dev.waxwinghead.model.time.Ticker;
+import dev.waxwinghead.scheduling.limits.RequestLimits;
+import dev.waxwinghead.scheduling.retry.RetryBudget;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** Reads callers' requests, hands them to the dispatcher and gives each caller its outcome. */
+final class CallerHandler implements HttpHandler, CallDispatcher.AnswerHandler {
+    private static final long NOT_READY_MILLIS = 1_000;
+    private static final long SETTLE_MILLIS = 50;
+    private static final Duration LONGEST_WRITE = Duration.ofSeconds(5);
+
+    private final Ticker ticker;
+    private final RequestLimits limits;
+    private final CallerMeters meters;
+    private final RetryBudget budget;
+    private final CallerResponses responses = CallerResponses.create(this::leaving);
+    private final AtomicInteger inFlight = new AtomicInteger();
+    private final Set<AnswerBody> feeds = ConcurrentHashMap.newKeySet();
+    private volatile CallDispatcher dispatcher;
+    private volatile boolean leaving;
+
+    private CallerHandler(Ticker ticker, RequestLimits limits, CallerMeters meters, RetryBudget budget) {
+        this.ticker = ticker;
+        this.limits = limits;
+        this.meters = meters;
+        this.budget = budget;
+    }
+
+    static CallerHandler create(Ticker ticker, RequestLimits limits, CallerMeters meters, RetryBudget budget) {
+        return new CallerHandler(ticker, limits, meters, budget);
+    }
+
+    void dispatchWith(CallDispatcher given) {
+        dispatcher = given;
+    }
+
+    int inFlight() {
+        return inFlight.get();
+    }
+
+    boolean leaving() {
+        return leaving;
+    }
+
+    @Override
+    public void handle(HttpExchange exchange) {
+        inFlight.incrementAndGet();
+        CallRequest request;
+        try {
+            request = CallRequest.read(exchange, ticker);
+        } catch (IOException | RuntimeException e) {
+            meters.refusedUnread();
+            responses.refuse(exchange, Outcome.NOT_RUN, WaxwingheadException.from(e));
+            inFlight.decrementAndGet();
+            return;
+        }
+        Call call = Call.of(request, exchange);
+        Optional<String> limit = limits.enter(request.tenant(), request.trafficClass(), ticker.nanos());
+        if (limit.isPresent()) {
+            WaxwingheadException failure = WaxwingheadException.of(
+                    ErrorKind.LIMITED, limit.get(), "send fewer requests, or have the limit raised");
+            end(call, Outcome.NOT_RUN, () -> responses.refuse(exchange, Outcome.NOT_RUN, failure));
+            return;
+        }
+        call.countsAgainstLimits();
+        dispatcher.dispatch(call);
+    }
+
+    @Override
+    public void answered(Call call, UpstreamAnswer answer, UpstreamTable.Reservation reservation) {
+        budget.succeeded();
+        Map<String, List<String>> headers = HeaderRules.toCaller(answer.headers());
+        headers.put(HeaderRules.OUTCOME, List.of(Outcome.ANSWERED.text()));
+        headers.put(HeaderRules.UPSTREAM, List.of(answer.upstream().id().value()));
+        if (answer.body().whole()) {
+            reservation.answered();
+            byte[] body = answer.body().bytes();
+            end(call, Outcome.ANSWERED, () -> responses.whole(call.exchange(), answer.status(), headers, body));
+        } else {
+            stream(call, answer, headers, reservation);
+        }
+        dispatcher.drainQueue(call.request().service());
+    }
+
+    @Override
+    public void refused(Call call, WaxwingheadException failure) {
+        Outcome outcome = call.mayHaveRun() ? Outcome.UNKNOWN : Outcome.NOT_RUN;
+        end(call, outcome, () -> responses.refuse(call.exchange(), outcome, failure));
+    }
+
+    /**
+     * Stops taking part: tells the balancer first, then ends feeds and waits for what is in flight.
+     *
+     * @param deadline when to stop waiting
+     * @return completes once nothing is in flight, or the deadline has passed
+     */
+    CompletableFuture<Void> drain(Deadline deadline) {
+        leaving = true;
+        CompletableFuture<Void> drained = new CompletableFuture<>();
+        later(NOT_READY_MILLIS, () -> {
+            feeds.forEach(AnswerBody::finishEarly);
+            awaitIdle(deadline, drained, false);
+        });
+        return drained;
+    }
+
+    /** Breaks off the feeds whose callers don't read. */
+    void endStalledFeeds() {
+        for (AnswerBody feed : feeds) {
+            if (feed.stalled(LONGEST_WRITE)) {
+                feed.cancel(new IOException("the caller does not read"));
+            }
+        }
+    }
+
+    private void awaitIdle(Deadline deadline, CompletableFuture<Void> drained, boolean idleBefore) {
+        boolean idle = inFlight.get() == 0;
+        if ((idle && idleBefore) || deadline.passed(ticker)) {
+            drained.complete(null);
+            return;
+        }
+        feeds.forEach(AnswerBody::finishEarly);
+        later(SETTLE_MILLIS, () -> awaitIdle(deadline, drained, idle));
+    }
+
+    private static void later(long millis, Runnable work) {
+        CompletableFuture.delayedExecutor(millis, TimeUnit.MILLISECONDS).execute(work);
+    }
+
+    private void stream(
+            Call call,
+            UpstreamAnswer answer,
+            Map<String, List<String>> headers,
+            UpstreamTable.Reservation reservation) {
+        boolean feed = call.request().kind() == CallKind.FEED;
+        if (feed) {
+            headers.put("Connection", List.of("close"));
+            feeds.add(answer.body());
+        }
+        if (!call.finish()) {
+            return;
+        }
+        try {
+            AnswerSink sink = responses.start(
+                    call.exchange(),
+                    answer.status(),
+                    headers,
+                    length(answer),
+                    cause -> streamed(call, answer, reservation, cause));
+            answer.body().pipeTo(sink);
+        } catch (IOException e) {
+            answer.body().cancel(e);
+            call.exchange().close();
+            streamed(call, answer, reservation, e);
+        }
+    }
+
+    private void streamed(Call call, UpstreamAnswer answer, UpstreamTable.Reservation reservation, Throwable cause) {
+        feeds.remove(answer.body());
+        reservation.answered();
+        Outcome outcome = cause == null ? Outcome.ANSWERED : Outcome.UNKNOWN;
+        count(call, outcome);
+        dispatcher.drainQueue(call.request().service());
+    }
+
+    private static long length(UpstreamAnswer answer) {
+        return answer.headers().entrySet().stream()
+                .filter(header -> header.getKey().equalsIgnoreCase("content-length"))
+                .mapToLong(header -> Long.parseLong(header.getValue().get(0).trim()))
+                .findFirst()
+                .orElse(-1);
+    }
+
+    private void end(Call call, Outcome outcome, Runnable response) {
+        if (call.finish()) {
+            response.run();
+            count(call, outcome);
+        }
+    }
+
+    private void count(Call call, Outcome outcome) {
+        CallRequest request = call.request();
+        meters.ended(request, outcome, ticker.nanos() - request.receivedAt());
+        if (call.isCountedAgainstLimits()) {
+            limits.leave(request.tenant(), request.trafficClass());
+        }
+        inFlight.decrementAndGet();
+    }
+}
--- /dev/null
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/callers/CallersPart.java
@@ -0,0 +1,148 @@
+package dev.waxwinghead.daemon.callers;
+
+import com.sun.net.httpserver.HttpExchange;
+import dev.waxwinghead.daemon.configuration.Configuration;
+import dev.waxwinghead.daemon.http.JsonExchange;
+import dev.waxwinghead.daemon.part.DaemonContext;
+import dev.waxwinghead.daemon.part.DaemonPart;
+import dev.waxwinghead.daemon.state.StateSection;
+import dev.waxwinghead.daemon.upstreams.UpstreamsPart;
+import dev.waxwinghead.model.lifecycle.Closer;
+import dev.waxwinghead.model.manifest.TenantManifest;
+import dev.waxwinghead.model.manifest.TrafficClassManifest;
+import dev.waxwinghead.model.time.Deadline;
+import dev.waxwinghead.scheduling.limits.RequestLimits;
+import dev.waxwinghead.scheduling.retry.RetryBudget;
+import dev.waxwinghead.scheduling.retry.RetryPolicy;
+import dev.waxwinghead.scheduling.routing.UpstreamChooser;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.ThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+
+/** Serves callers: the adapter of the callers' interface. */
+public final class CallersPart implements DaemonPart {
+    private static final int SEND_THREADS = 32;
+    private static final long QUEUE_TICK_MILLIS = 20;
+    private static final long CLEAN_TICK_MILLIS = 1_000;
+    private static final double RESENDS_PER_SUCCESS = 0.1;
+    private static final int SAVED_RESENDS = 10;
+
+    private final UpstreamsPart upstreams;
+    private final Closer closer = Closer.create();
+    private volatile CallerHandler handler;
+    private volatile CallDispatcher dispatcher;
+
+    private CallersPart(UpstreamsPart upstreams) {
+        this.upstreams = upstreams;
+    }
+
+    /**
+     * Returns the part, not started yet.
+     *
+     * @param upstreams the registry's part, started before this one
+     * @return the part, never null
+     */
+    public static CallersPart create(UpstreamsPart upstreams) {
+        return new CallersPart(upstreams);
+    }
+
+    @Override
+    public List<StateSection> sections() {
+        return List.of();
+    }
+
+    @Override
+    public void start(DaemonContext context) {
+        ThreadPoolExecutor executor =
+                new ThreadPoolExecutor(SEND_THREADS, SEND_THREADS, 10, TimeUnit.SECONDS, new LinkedBlockingQueue<>());
+        executor.allowCoreThreadTimeOut(true);
+        closer.register(executor::shutdownNow);
+        RequestLimits limits = RequestLimits.create();
+        configure(limits, context.configuration().current());
+        context.configuration().onChange(configuration -> configure(limits, configuration));
+        UpstreamClients clients = UpstreamClients.create(context.ticker(), executor);
+        UpstreamTable table = UpstreamTable.create(
+                upstreams.registry(),
+                SlotLimits.unshared(),
+                UpstreamChooser.create(context.dataCentre(), new SplittableRandom()),
+                context.ticker());
+        upstreams.inFlightFrom(table::inFlight);
+        CallerMeters meters = CallerMeters.create(context.meters(), limits);
+        RetryBudget budget = RetryBudget.create(RESENDS_PER_SUCCESS, SAVED_RESENDS);
+        handler = CallerHandler.create(context.ticker(), limits, meters, budget);
+        dispatcher = CallDispatcher.create(
+                upstreams.registry(),
+                table,
+                UpstreamSender.create(clients, context.ticker(), context.timer()),
+                limits,
+                RetryPolicy.create(budget),
+                context.ticker(),
+                meters,
+                handler);
+        handler.dispatchWith(dispatcher);
+        upstreams.registry().onChange(() -> context.pool().execute(dispatcher::drainQueues));
+        route(context);
+        every(context, QUEUE_TICK_MILLIS, () -> context.pool().execute(this::tendQueues));
+        every(context, CLEAN_TICK_MILLIS, () -> {
+            clients.retain(table.retainLive());
+            context.pool().execute(handler::endStalledFeeds);
+        });
+        context.meters().gauge("waxwinghead.upstream.generations.replaced", clients, UpstreamClients::replaced);
+        context.meters().gauge("waxwinghead.caller.waiting", dispatcher, CallDispatcher::waiting);
+        context.meters().gauge("waxwinghead.caller.inflight", handler, CallerHandler::inFlight);
+    }
+
+    @Override
+    public CompletableFuture<Void> drain(Deadline deadline) {
+        return handler.drain(deadline);
+    }
+
+    @Override
+    public Map<String, Object> status() {
+        Map<String, Object> status = new LinkedHashMap<>();
+        status.put("inFlight", handler.inFlight());
+        status.put("waiting", dispatcher.waiting());
+        status.put("leaving", handler.leaving());
+        return status;
+    }
+
+    @Override
+    public void close() {
+        closer.close();
+    }
+
+    private void route(DaemonContext context) {
+        context.callerHttp().route(CallRequest.PREFIX, handler);
+        context.callerHttp()
+                .route("/healthz", exchange -> JsonExchange.respond(exchange, 200, Map.of("healthy", true)));
+        context.callerHttp().route("/readyz", this::ready);
+    }
+
+    private void ready(HttpExchange exchange) {
+        boolean ready = !handler.leaving();
+        JsonExchange.respond(exchange, ready ? 200 : 503, Map.of("ready", ready));
+    }
+
+    private void tendQueues() {
+        dispatcher.removeLate();
+        dispatcher.drainQueues();
+    }
+
+    private void every(DaemonContext context, long millis, Runnable work) {
+        ScheduledFuture<?> ticking =
+                context.timer().scheduleWithFixedDelay(work, millis, millis, TimeUnit.MILLISECONDS);
+        closer.register(() -> ticking.cancel(false));
+    }
+
+    private static void configure(RequestLimits limits, Configuration configuration) {
+        limits.configure(
+                configuration.all(TenantManifest.class).toList(),
+                configuration.all(TrafficClassManifest.class).toList());
+    }
+}
--- /dev/null
+++ b/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/callers/LeavingUpstreamTests.java
@@ -0,0 +1,90 @@
+package dev.waxwinghead.daemon.callers;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import dev.waxwinghead.model.id.UpstreamId;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class LeavingUpstreamTests {
+    private static final long BOUND_MILLIS = 3_000;
+    private static final int REQUESTS = 30;
+
+    private final TestCluster cluster = new TestCluster();
+    private final List<TestHost> hosts = new ArrayList<>();
+    private final HttpClient client = HttpClient.newHttpClient();
+    private StubUpstream leaver;
+    private StubUpstream stayer;
+
+    @BeforeEach
+    void start() throws Exception {
+        hosts.add(cluster.addHost("e1", "dc1"));
+        hosts.add(cluster.addHost("e2", "dc1"));
+        hosts.add(cluster.addHost("e3", "dc2"));
+        leaver = StubUpstream.start(hosts.get(0), "u1", exchange -> StubUpstream.reply(exchange, 200, "u1"));
+        stayer = StubUpstream.start(hosts.get(1), "u2", exchange -> StubUpstream.reply(exchange, 200, "u2"));
+        Eventually.check(() -> {
+            callAll();
+            assertThat(leaver.runs()).isAtLeast(1);
+            assertThat(stayer.runs()).isAtLeast(1);
+        });
+    }
+
+    @AfterEach
+    void close() {
+        leaver.close();
+        stayer.close();
+        cluster.close();
+    }
+
+    @Test
+    void getsNothingNewFromAnyEntryHostOnceItSaysSo() throws Exception {
+        leaver.leave();
+        assertNothingNewReachesIt();
+    }
+
+    @Test
+    void getsNothingNewFromAnyEntryHostOnceItGoesSilent() throws Exception {
+        leaver.goSilent();
+        assertNothingNewReachesIt();
+    }
+
+    @Test
+    void getsNothingNewFromAnyEntryHostOnceItIsDrainedAtAnother() throws Exception {
+        hosts.get(2).upstreams().drainUpstream(UpstreamId.of("u1"));
+        assertNothingNewReachesIt();
+    }
+
+    @Test
+    void isListedForOperators() throws Exception {
+        leaver.leave();
+        HttpRequest list = HttpRequest.newBuilder(hosts.get(0).operatorUri("/v1/upstreams"))
+                .build();
+        String body = client.send(list, HttpResponse.BodyHandlers.ofString()).body();
+        assertThat(body).contains("\"upstream\":\"u1\"");
+        assertThat(body).contains("\"state\":\"leaving\"");
+    }
+
+    private void assertNothingNewReachesIt() throws Exception {
+        Thread.sleep(BOUND_MILLIS);
+        int before = leaver.runs();
+        callAll();
+        assertThat(leaver.runs()).isEqualTo(before);
+    }
+
+    private void callAll() throws Exception {
+        for (TestHost host : hosts) {
+            for (int i = 0; i < REQUESTS; i++) {
+                HttpResponse<String> response =
+                        client.send(host.request("/q").build(), HttpResponse.BodyHandlers.ofString());
+                assertThat(response.statusCode()).isEqualTo(200);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/callers/StubUpstream.java
@@ -0,0 +1,148 @@
+package dev.waxwinghead.daemon.callers;
+
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpHandler;
+import com.sun.net.httpserver.HttpServer;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** An upstream of the service {@code quotes} that counts what it runs and announces itself to one entry host. */
+final class StubUpstream implements AutoCloseable {
+    private static final HttpClient CLIENT = HttpClient.newHttpClient();
+
+    private final HttpServer server;
+    private final ExecutorService threads = Executors.newCachedThreadPool();
+    private final ScheduledExecutorService timer = Executors.newScheduledThreadPool(1);
+    private final ScheduledFuture<?> announcing;
+    private final String id;
+    private final String dataCentre;
+    private final AtomicInteger runs = new AtomicInteger();
+    private final AtomicInteger running = new AtomicInteger();
+    private final AtomicInteger mostRunning = new AtomicInteger();
+    private final Map<String, Integer> runsByKey = new ConcurrentHashMap<>();
+    private volatile TestHost host;
+    private volatile String address;
+    private volatile String state = "serving";
+
+    private StubUpstream(TestHost host, String id, String dataCentre, int port, HttpHandler handler)
+            throws IOException {
+        this.host = host;
+        this.id = id;
+        this.dataCentre = dataCentre;
+        server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 1024);
+        server.setExecutor(threads);
+        server.createContext("/", exchange -> run(exchange, handler));
+        server.start();
+        address = "127.0.0.1:" + (port == 0 ? server.getAddress().getPort() : port);
+        announce();
+        announcing = timer.scheduleAtFixedRate(this::announceQuietly, 400, 400, TimeUnit.MILLISECONDS);
+    }
+
+    static StubUpstream start(TestHost host, String id, HttpHandler handler) throws IOException {
+        return new StubUpstream(host, id, host.dataCentre().value(), 0, handler);
+    }
+
+    /** Announces another listener under an id, such as a raw socket or a relay. */
+    static StubUpstream startAt(TestHost host, String id, int port) throws IOException {
+        return new StubUpstream(host, id, host.dataCentre().value(), port, exchange -> {});
+    }
+
+    /** Answers with a text. */
+    static void reply(HttpExchange exchange, int status, String body) throws IOException {
+        try (exchange) {
+            byte[] bytes = body.getBytes(java.nio.charset.StandardCharsets.UTF_8);
+            exchange.sendResponseHeaders(status, bytes.length == 0 ? -1 : bytes.length);
+            exchange.getResponseBody().write(bytes);
+        }
+    }
+
+    int runs() {
+        return runs.get();
+    }
+
+    int runs(String key) {
+        return runsByKey.getOrDefault(key, 0);
+    }
+
+    int mostRunning() {
+        return mostRunning.get();
+    }
+
+    int port() {
+        return server.getAddress().getPort();
+    }
+
+    void announceTo(TestHost other) {
+        host = other;
+    }
+
+    void leave() throws IOException {
+        state = "leaving";
+        announce();
+    }
+
+    /** Stops announcing, but goes on serving. */
+    void goSilent() {
+        announcing.cancel(false);
+    }
+
+    @Override
+    public void close() {
+        goSilent();
+        timer.shutdownNow();
+        server.stop(0);
+        threads.shutdownNow();
+    }
+
+    private void run(HttpExchange exchange, HttpHandler handler) throws IOException {
+        exchange.getRequestBody().readAllBytes();
+        runs.incrementAndGet();
+        String key = exchange.getRequestHeaders().getFirst("Idempotency-Key");
+        if (key != null) {
+            runsByKey.merge(key, 1, Integer::sum);
+        }
+        mostRunning.accumulateAndGet(running.incrementAndGet(), Math::max);
+        try {
+            handler.handle(exchange);
+        } finally {
+            running.decrementAndGet();
+        }
+    }
+
+    private void announceQuietly() {
+        try {
+            announce();
+        } catch (IOException e) {
+            // The entry host is gone; the next announcement may reach another.
+        }
+    }
+
+    private void announce() throws IOException {
+        String body = "{\"upstream\": \"" + id + "\", \"service\": \"quotes\", \"address\": \"" + address
+                + "\", \"dataCentre\": \"" + dataCentre + "\", \"worker\": \"w1\", \"slots\": 8, \"connections\": 64,"
+                + " \"state\": \"" + state + "\"}";
+        HttpRequest request = HttpRequest.newBuilder(host.announceUri())
+                .POST(HttpRequest.BodyPublishers.ofString(body))
+                .build();
+        try {
+            HttpResponse<String> response = CLIENT.send(request, HttpResponse.BodyHandlers.ofString());
+            if (response.statusCode() != 200) {
+                throw new IOException(response.body());
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/callers/TestCluster.java
@@ -0,0 +1,184 @@
+package dev.waxwinghead.daemon.callers;
+
+import dev.waxwinghead.coordination.log.LogStatus;
+import dev.waxwinghead.coordination.peer.PeerAddress;
+import dev.waxwinghead.coordination.peer.PeerChannel;
+import dev.waxwinghead.coordination.peer.PeerNetwork;
+import dev.waxwinghead.daemon.state.SectionId;
+import dev.waxwinghead.daemon.state.SectionedStateMachine;
+import dev.waxwinghead.daemon.state.SharedState;
+import dev.waxwinghead.model.error.ErrorKind;
+import dev.waxwinghead.model.error.WaxwingheadException;
+import dev.waxwinghead.model.id.DataCentreId;
+import dev.waxwinghead.model.id.HostId;
+import dev.waxwinghead.model.id.ReplicaId;
+import dev.waxwinghead.model.time.Deadline;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+
+/** Entry hosts of one process: peers in memory that can be cut, and one log that all state machines follow. */
+final class TestCluster implements AutoCloseable {
+    private final List<TestHost> hosts = new ArrayList<>();
+    private final List<byte[]> log = new ArrayList<>();
+    private final Map<HostId, Integer> sides = new ConcurrentHashMap<>();
+    private final ExecutorService threads = Executors.newCachedThreadPool();
+    private volatile boolean majority = true;
+
+    TestHost addHost(String id, String dataCentre, String... manifests) {
+        TestHost host = TestHost.start(this, HostId.of(id), DataCentreId.of(dataCentre), manifests);
+        hosts.add(host);
+        return host;
+    }
+
+    /** Puts hosts on a side; those of different sides can't reach each other. */
+    void moveToSide(int side, TestHost... moved) {
+        for (TestHost host : moved) {
+            sides.put(host.id(), side);
+        }
+    }
+
+    void loseMajority() {
+        majority = false;
+    }
+
+    TestPeers peersOf(HostId host) {
+        return new TestPeers(host);
+    }
+
+    private boolean reach(HostId one, HostId other) {
+        return sides.getOrDefault(one, 0).equals(sides.getOrDefault(other, 0));
+    }
+
+    private Optional<TestHost> find(HostId id) {
+        return hosts.stream()
+                .filter(host -> host.id().equals(id) && !host.closed())
+                .findFirst();
+    }
+
+    @Override
+    public void close() {
+        hosts.forEach(TestHost::close);
+        threads.shutdownNow();
+    }
+
+    /** Proposes to the common log and applies it on every host. */
+    final class TestSharedState implements SharedState {
+        private final SectionedStateMachine machine;
+
+        TestSharedState(SectionedStateMachine machine) {
+            this.machine = machine;
+            synchronized (log) {
+                for (int i = 0; i < log.size(); i++) {
+                    machine.apply(i + 1L, log.get(i));
+                }
+            }
+        }
+
+        @Override
+        public CompletableFuture<byte[]> propose(SectionId section, byte[] command, Deadline deadline) {
+            return CompletableFuture.supplyAsync(
+                    () -> {
+                        if (!majority) {
+                            throw WaxwingheadException.of(ErrorKind.NO_MAJORITY, "no majority", "try again later");
+                        }
+                        return append(SectionedStateMachine.envelope(section, command));
+                    },
+                    threads);
+        }
+
+        private byte[] append(byte[] command) {
+            synchronized (log) {
+                log.add(command);
+                byte[] own = null;
+                for (TestHost host : hosts) {
+                    byte[] result = host.state().machine.apply(log.size(), command);
+                    own = host.state() == this ? result : own;
+                }
+                return own;
+            }
+        }
+
+        @Override
+        public CompletableFuture<Long> readBarrier(Deadline deadline) {
+            return CompletableFuture.completedFuture((long) log.size());
+        }
+
+        @Override
+        public LogStatus status() {
+            return new LogStatus(
+                    ReplicaId.of("r1"), LogStatus.Role.FOLLOWER, 1, Optional.empty(), 0, 0, majority, 0, List.of());
+        }
+    }
+
+    /** The connections of one host. */
+    final class TestPeers implements PeerNetwork {
+        private final HostId self;
+        private final Map<PeerChannel, MessageHandler> messages = new EnumMap<>(PeerChannel.class);
+        private final Map<PeerChannel, CallHandler> calls = new EnumMap<>(PeerChannel.class);
+
+        private TestPeers(HostId self) {
+            this.self = self;
+        }
+
+        @Override
+        public HostId self() {
+            return self;
+        }
+
+        @Override
+        public void send(HostId to, PeerChannel channel, byte[] message) {
+            threads.execute(() -> find(to).filter(host -> reach(self, to))
+                    .map(host -> host.peers().messages.get(channel))
+                    .ifPresent(handler -> handler.receive(self, message)));
+        }
+
+        @Override
+        public CompletableFuture<byte[]> call(HostId to, PeerChannel channel, byte[] request, Deadline deadline) {
+            Optional<CallHandler> handler = find(to).filter(host -> reach(self, to))
+                    .map(host -> host.peers().calls.get(channel));
+            if (handler.isEmpty()) {
+                return CompletableFuture.failedFuture(
+                        WaxwingheadException.of(ErrorKind.UNAVAILABLE, to + " can't be reached", "try again later"));
+            }
+            return CompletableFuture.completedFuture(request)
+                    .thenComposeAsync(bytes -> handler.get().answer(self, bytes), threads);
+        }
+
+        @Override
+        public void onMessage(PeerChannel channel, MessageHandler handler) {
+            messages.put(channel, handler);
+        }
+
+        @Override
+        public void onCall(PeerChannel channel, CallHandler handler) {
+            calls.put(channel, handler);
+        }
+
+        @Override
+        public void setPeers(Collection<PeerAddress> peers) {
+            throw new UnsupportedOperationException("the peers are those of the cluster");
+        }
+
+        @Override
+        public List<PeerStatus> peers() {
+            return hosts.stream()
+                    .filter(host -> !host.id().equals(self))
+                    .map(host -> new PeerStatus(
+                            host.id(), host.dataCentre(), !host.closed() && reach(self, host.id()), System.nanoTime()))
+                    .toList();
+        }
+
+        @Override
+        public void close() {
+            messages.clear();
+        }
+    }
+}
