Send the poll's sequence and the services' latency ratio

Cause: the task lane's scheduler believes a shorter task list sooner when polls carry a rising sequence, and estimates interference from latency ratios. Conclusion: the service field of a start is read as an object and as a name, until the scheduler sends the object.

--- a/waxwinghead-testkit/src/main/java/dev/waxwinghead/testkit/upstream/Upstream.java
+++ b/waxwinghead-testkit/src/main/java/dev/waxwinghead/testkit/upstream/Upstream.java
@@ -15,6 +15,8 @@
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.HdrHistogram.Histogram;
+import org.HdrHistogram.Recorder;
 
 /**
  * Serves HTTP on a free loopback port in the way that each request's path asks for.
@@ -28,6 +30,7 @@
     private static final String FEED = "feed";
     private static final String RUNS = "runs";
     private static final int BACKLOG = 1_024;
+    private static final long MAX_MICROS = TimeUnit.HOURS.toMicros(1);
     private static final long LATE_MILLIS = 3_000;
 
     private final UpstreamOptions options;
@@ -38,6 +41,7 @@
     private final AtomicInteger inFlight = new AtomicInteger();
     private final CountDownLatch feedsEnd = new CountDownLatch(1);
     private final Map<String, Behaviour> behaviours;
+    private final Recorder serviceMicros = new Recorder(MAX_MICROS, 2);
     private volatile long leaveNanos;
     private volatile boolean leaving;
 
@@ -99,6 +103,16 @@
         return inFlight.get();
     }
 
+    /**
+     * Returns the time within which 99% of the requests since the last call were served.
+     *
+     * @return the time in microseconds; 0 if there were none
+     */
+    public long takeTailMicros() {
+        Histogram interval = serviceMicros.getIntervalHistogram();
+        return interval.getTotalCount() == 0 ? 0 : interval.getValueAtPercentile(99);
+    }
+
     /** Ends the open feeds. Requests are still served until {@link #close}. */
     public void leave() {
         leaveNanos = System.nanoTime();
@@ -146,10 +160,14 @@
 
     private void serveCounted(HttpExchange exchange, RequestPath path) throws IOException {
         inFlight.incrementAndGet();
+        long startNanos = System.nanoTime();
         try {
             pause(options.noiseMicros().getAsLong());
             serve(exchange, path);
         } finally {
+            if (!path.word().equals(FEED)) {
+                serviceMicros.recordValue(Math.min(MAX_MICROS, (System.nanoTime() - startNanos) / 1_000));
+            }
             inFlight.decrementAndGet();
         }
     }
--- a/waxwinghead-testkit/src/main/java/dev/waxwinghead/testkit/worker/BatchTask.java
+++ b/waxwinghead-testkit/src/main/java/dev/waxwinghead/testkit/worker/BatchTask.java
@@ -79,7 +79,7 @@
         long now = context.ticker().nanos();
         doneMillis += (double) (now - lastStepNanos) * rate / 1e6;
         lastStepNanos = now;
-        meter.measure((long) (plan.usedMillicores() * rate), plan.usedMemoryBytes());
+        meter.measure((long) (plan.usedMillicores() * rate), plan.usedMemoryBytes(), () -> null);
     }
 
     private void finishStop() {
--- a/waxwinghead-testkit/src/main/java/dev/waxwinghead/testkit/worker/ServiceTask.java
+++ b/waxwinghead-testkit/src/main/java/dev/waxwinghead/testkit/worker/ServiceTask.java
@@ -63,7 +63,7 @@
             return;
         }
         long now = context.ticker().nanos();
-        meter.measure(usedMillicores(), usedMemoryBytes());
+        meter.measure(usedMillicores(), usedMemoryBytes(), this::latencyRatio);
         if (stopping && (now - stopNanos >= 0 || settled(now))) {
             end("told to end");
             return;
@@ -82,6 +82,12 @@
         return settings.number(TaskSettings.USED_MEMORY_BYTES, start.resources().memoryBytes());
     }
 
+    private Double latencyRatio() {
+        long tailMicros = upstream.takeTailMicros();
+        long targetMillis = settings.number(TaskSettings.LATENCY_TARGET_MILLIS, 0);
+        return tailMicros == 0 || targetMillis <= 0 ? null : tailMicros / 1_000.0 / targetMillis;
+    }
+
     private boolean settled(long now) {
         return upstream.inFlight() == 0 && now - leaveNanos >= SETTLE_NANOS;
     }
--- a/waxwinghead-testkit/src/main/java/dev/waxwinghead/testkit/worker/ServiceTerms.java
+++ b/waxwinghead-testkit/src/main/java/dev/waxwinghead/testkit/worker/ServiceTerms.java
@@ -13,7 +13,7 @@
  * @param connections connections that it takes, open feeds among them
  */
 record ServiceTerms(ServiceName name, int slots, int connections) {
-    @JsonCreator
+    @JsonCreator(mode = JsonCreator.Mode.PROPERTIES)
     static ServiceTerms from(
             @JsonProperty("name") ServiceName name,
             @JsonProperty("slots") Integer slots,
@@ -24,7 +24,7 @@
                 connections == null ? ServiceManifest.DEFAULT_CONNECTIONS : connections);
     }
 
-    @JsonCreator
+    @JsonCreator(mode = JsonCreator.Mode.DELEGATING)
     static ServiceTerms from(String name) {
         return from(ServiceName.of(name), null, null);
     }
--- a/waxwinghead-testkit/src/main/java/dev/waxwinghead/testkit/worker/StandInWorker.java
+++ b/waxwinghead-testkit/src/main/java/dev/waxwinghead/testkit/worker/StandInWorker.java
@@ -34,6 +34,7 @@
     private final CountDownLatch wake = new CountDownLatch(1);
     private final CompletableFuture<Void> left = new CompletableFuture<>();
     private volatile boolean closed;
+    private long sequence;
     private long highestTerm;
     private long leaseMillis = FIRST_LEASE_MILLIS;
     private boolean reached;
@@ -129,7 +130,8 @@
     }
 
     private PollRequest request() {
-        return new PollRequest(context.worker(), highestTerm, leaving.get(), tasks.reports());
+        sequence++;
+        return new PollRequest(context.worker(), sequence, highestTerm, leaving.get(), tasks.reports());
     }
 
     private void obey(PollAnswer answer, long sentNanos) {
--- a/waxwinghead-testkit/src/main/java/dev/waxwinghead/testkit/worker/TaskSettings.java
+++ b/waxwinghead-testkit/src/main/java/dev/waxwinghead/testkit/worker/TaskSettings.java
@@ -27,6 +27,9 @@
     /** The memory that a task uses, in bytes; its declared size if absent. */
     static final String USED_MEMORY_BYTES = "usedMemoryBytes";
 
+    /** The tail latency that a service's task aims at, in milliseconds; without it, no latency is reported. */
+    static final String LATENCY_TARGET_MILLIS = "latencyTargetMillis";
+
     /** How many microseconds a running batch task adds to each request that its worker's upstreams serve. */
     static final String NOISE_MICROS = "noiseMicros";
 
--- a/waxwinghead-testkit/src/main/java/dev/waxwinghead/testkit/worker/UsageMeter.java
+++ b/waxwinghead-testkit/src/main/java/dev/waxwinghead/testkit/worker/UsageMeter.java
@@ -2,6 +2,7 @@
 
 import dev.waxwinghead.model.time.Ticker;
 import java.time.Duration;
+import java.util.function.Supplier;
 
 /** Measures what a task uses and shows each measurement only after a lag. Not thread-safe. */
 final class UsageMeter {
@@ -19,11 +20,12 @@
         return new UsageMeter(ticker, lag);
     }
 
-    void measure(long millicores, long memoryBytes) {
+    /** Takes a measurement if the last one is old enough; the latency ratio is read only then and may be null. */
+    void measure(long millicores, long memoryBytes, Supplier<Double> latencyRatio) {
         long now = ticker.nanos();
         if (newest == null || now - newest.takenNanos >= lag.toNanos()) {
             shown = newest;
-            newest = new Sample(millicores, memoryBytes, now);
+            newest = new Sample(millicores, memoryBytes, latencyRatio.get(), now);
         }
     }
 
@@ -33,8 +35,8 @@
             return null;
         }
         long ageMillis = (ticker.nanos() - shown.takenNanos) / 1_000_000L;
-        return new Usage(shown.millicores, shown.memoryBytes, ageMillis);
+        return new Usage(shown.millicores, shown.memoryBytes, ageMillis, shown.latencyRatio);
     }
 
-    private record Sample(long millicores, long memoryBytes, long takenNanos) {}
+    private record Sample(long millicores, long memoryBytes, Double latencyRatio, long takenNanos) {}
 }
