Run tasks end to end: table, data-centre scheduler, planner, polls and operators' routes

Cause: nothing ran tasks. The task table is a pure state machine whose transitions are fenced by the scheduler's term (the log index of its acquisition); an attempt stands in the log before its start command leaves. Ruled out: dropping the term on a proposal of unknown outcome (a cut-off data centre would lose its authority and evict); instead a new term is asked for while leases go on. Waiting only this host's own lease lengths before declaring tasks lost (a test with unequal settings restarted running replicas: 8 starts where 6 were due); the term now carries them.

--- /dev/null
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/tasks/CapacityReport.java
@@ -0,0 +1,104 @@
+package dev.waxwinghead.daemon.tasks;
+
+import dev.waxwinghead.model.id.DataCentreId;
+import dev.waxwinghead.model.label.Labels;
+import dev.waxwinghead.model.resource.Resources;
+import dev.waxwinghead.scheduling.task.WorkerSummary;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessageUnpacker;
+
+/**
+ * Summarizes the workers of one data centre by groups of equal labels and capacity.
+ *
+ * @param dataCentre the data centre
+ * @param term the term of the scheduler that made the report
+ * @param groups the groups
+ */
+record CapacityReport(DataCentreId dataCentre, long term, List<Group> groups) {
+    /**
+     * Summarizes alike workers.
+     *
+     * @param labels their labels
+     * @param capacity what each has in all
+     * @param workers how many there are
+     * @param ready how many of them take tasks
+     * @param free what is free on those that take tasks, together
+     */
+    record Group(Labels labels, Resources capacity, int workers, int ready, Resources free) {
+        Group plus(WorkerSummary worker) {
+            boolean takesTasks = worker.state() == WorkerSummary.State.READY;
+            return new Group(
+                    labels,
+                    capacity,
+                    workers + 1,
+                    takesTasks ? ready + 1 : ready,
+                    takesTasks ? free.plus(freeOn(worker)) : free);
+        }
+
+        private static Resources freeOn(WorkerSummary worker) {
+            Resources capacity = worker.description().capacity();
+            return worker.committed().fitsIn(capacity) ? capacity.minus(worker.committed()) : Resources.NONE;
+        }
+    }
+
+    private record GroupKey(Labels labels, Resources capacity) {}
+
+    static CapacityReport of(DataCentreId dataCentre, long term, List<WorkerSummary> workers) {
+        Map<GroupKey, Group> groups = new LinkedHashMap<>();
+        for (WorkerSummary worker : workers) {
+            Labels labels = worker.description().labels();
+            Resources capacity = worker.description().capacity();
+            if (worker.state() != WorkerSummary.State.LOST) {
+                groups.merge(
+                        new GroupKey(labels, capacity),
+                        new Group(labels, capacity, 0, 0, Resources.NONE).plus(worker),
+                        (before, one) -> before.plus(worker));
+            }
+        }
+        return new CapacityReport(dataCentre, term, new ArrayList<>(groups.values()));
+    }
+
+    static void write(MessageBufferPacker packer, CapacityReport report) throws IOException {
+        packer.packString(report.dataCentre.value()).packLong(report.term);
+        Packing.list(packer, report.groups, (to, group) -> {
+            labels(to, group.labels);
+            Packing.resources(to, group.capacity);
+            to.packInt(group.workers).packInt(group.ready);
+            Packing.resources(to, group.free);
+        });
+    }
+
+    static CapacityReport read(MessageUnpacker unpacker) throws IOException {
+        return new CapacityReport(
+                DataCentreId.of(unpacker.unpackString()),
+                unpacker.unpackLong(),
+                Packing.list(
+                        unpacker,
+                        from -> new Group(
+                                labels(from),
+                                Packing.resources(from),
+                                from.unpackInt(),
+                                from.unpackInt(),
+                                Packing.resources(from))));
+    }
+
+    static void labels(MessageBufferPacker packer, Labels labels) throws IOException {
+        packer.packMapHeader(labels.values().size());
+        for (Map.Entry<String, String> label : labels.values().entrySet()) {
+            packer.packString(label.getKey()).packString(label.getValue());
+        }
+    }
+
+    static Labels labels(MessageUnpacker unpacker) throws IOException {
+        Map<String, String> values = new LinkedHashMap<>();
+        for (int left = unpacker.unpackMapHeader(); left > 0; left--) {
+            values.put(unpacker.unpackString(), unpacker.unpackString());
+        }
+        return Labels.of(values);
+    }
+}
--- /dev/null
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/tasks/CommandCodec.java
@@ -0,0 +1,195 @@
+package dev.waxwinghead.daemon.tasks;
+
+import dev.waxwinghead.model.error.ErrorKind;
+import dev.waxwinghead.model.error.WaxwingheadException;
+import dev.waxwinghead.model.id.DataCentreId;
+import dev.waxwinghead.model.id.HostId;
+import dev.waxwinghead.model.id.JobName;
+import dev.waxwinghead.model.id.TaskId;
+import dev.waxwinghead.model.id.WorkerId;
+import dev.waxwinghead.model.manifest.Manifest;
+import dev.waxwinghead.model.manifest.ManifestKey;
+import dev.waxwinghead.model.manifest.ManifestKind;
+import dev.waxwinghead.model.manifest.Manifests;
+import dev.waxwinghead.scheduling.task.CommandResult;
+import dev.waxwinghead.scheduling.task.TaskCommand;
+import dev.waxwinghead.scheduling.task.Transition;
+import java.io.IOException;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessageUnpacker;
+
+/** Writes task commands and their results as MessagePack. The leading codes never change. */
+final class CommandCodec {
+    private static final int ACQUIRE = 1;
+    private static final int RENEW = 2;
+    private static final int RELEASE = 3;
+    private static final int REVOKE = 4;
+    private static final int TRANSITIONS = 5;
+    private static final int RECONCILE = 6;
+    private static final int DELEGATE = 7;
+    private static final int RESTART = 8;
+    private static final int CANCEL_JOBS = 9;
+    private static final int EXPLAIN = 10;
+    private static final int DRAIN_WORKER = 11;
+
+    private CommandCodec() {}
+
+    static byte[] write(TaskCommand command) {
+        return Packing.pack(packer -> write(packer, command));
+    }
+
+    static TaskCommand read(byte[] bytes) {
+        return Packing.unpack(bytes, CommandCodec::read);
+    }
+
+    static byte[] writeResult(CommandResult result) {
+        return Packing.pack(packer -> packer.packBoolean(result.accepted()).packLong(result.term()));
+    }
+
+    static CommandResult readResult(byte[] bytes) {
+        return Packing.unpack(bytes, unpacker -> new CommandResult(unpacker.unpackBoolean(), unpacker.unpackLong()));
+    }
+
+    static void key(MessageBufferPacker packer, ManifestKey key) throws IOException {
+        packer.packString(key.kind().text()).packString(key.name());
+    }
+
+    static ManifestKey key(MessageUnpacker unpacker) throws IOException {
+        return ManifestKey.of(ManifestKind.ofText(unpacker.unpackString()), unpacker.unpackString());
+    }
+
+    static Manifest manifest(MessageUnpacker unpacker) throws IOException {
+        String json = Packing.optional(unpacker);
+        return json == null ? null : Manifests.readJson(json);
+    }
+
+    static String json(Manifest manifest) {
+        return manifest == null ? null : Manifests.writeJson(manifest);
+    }
+
+    private static void write(MessageBufferPacker packer, TaskCommand command) throws IOException {
+        if (command instanceof TaskCommand.Acquire acquire) {
+            packer.packInt(ACQUIRE).packString(acquire.dataCentre().value());
+            packer.packString(acquire.host().value()).packString(acquire.address());
+            packer.packLong(acquire.expectedTerm()).packLong(acquire.leaseMillis());
+        } else if (command instanceof TaskCommand.Renew renew) {
+            packer.packInt(RENEW).packString(renew.dataCentre().value()).packLong(renew.term());
+        } else if (command instanceof TaskCommand.Release release) {
+            packer.packInt(RELEASE).packString(release.dataCentre().value()).packLong(release.term());
+        } else if (command instanceof TaskCommand.Revoke revoke) {
+            packer.packInt(REVOKE).packString(revoke.dataCentre().value());
+            packer.packLong(revoke.term()).packLong(revoke.renewals());
+        } else if (command instanceof TaskCommand.Transitions transitions) {
+            packer.packInt(TRANSITIONS).packString(transitions.dataCentre().value());
+            packer.packLong(transitions.term());
+            Packing.list(packer, transitions.transitions(), CommandCodec::transition);
+        } else {
+            writePlan(packer, command);
+        }
+    }
+
+    private static void writePlan(MessageBufferPacker packer, TaskCommand command) throws IOException {
+        if (command instanceof TaskCommand.Reconcile reconcile) {
+            packer.packInt(RECONCILE).packLong(reconcile.base()).packLong(reconcile.revision());
+            Packing.list(packer, reconcile.changes(), CommandCodec::ownerChange);
+        } else if (command instanceof TaskCommand.Delegate delegate) {
+            packer.packInt(DELEGATE).packString(delegate.dataCentre().value());
+            Packing.list(packer, delegate.tasks(), (to, task) -> to.packString(task.value()));
+        } else if (command instanceof TaskCommand.Restart restart) {
+            packer.packInt(RESTART);
+            Packing.list(packer, restart.tasks(), (to, task) -> to.packString(task.value()));
+        } else if (command instanceof TaskCommand.CancelJobs cancel) {
+            packer.packInt(CANCEL_JOBS);
+            Packing.list(packer, cancel.jobs(), (to, job) -> to.packString(job.value()));
+        } else if (command instanceof TaskCommand.Explain explain) {
+            packer.packInt(EXPLAIN);
+            key(packer, explain.owner());
+            packer.packBoolean(explain.impossible());
+            Packing.optional(packer, explain.reason());
+        } else if (command instanceof TaskCommand.DrainWorker drain) {
+            packer.packInt(DRAIN_WORKER).packString(drain.worker().value()).packLong(drain.incarnation());
+        }
+    }
+
+    private static TaskCommand read(MessageUnpacker unpacker) throws IOException {
+        int code = unpacker.unpackInt();
+        return switch (code) {
+            case ACQUIRE ->
+                new TaskCommand.Acquire(
+                        dataCentre(unpacker),
+                        HostId.of(unpacker.unpackString()),
+                        unpacker.unpackString(),
+                        unpacker.unpackLong(),
+                        unpacker.unpackLong());
+            case RENEW -> new TaskCommand.Renew(dataCentre(unpacker), unpacker.unpackLong());
+            case RELEASE -> new TaskCommand.Release(dataCentre(unpacker), unpacker.unpackLong());
+            case REVOKE -> new TaskCommand.Revoke(dataCentre(unpacker), unpacker.unpackLong(), unpacker.unpackLong());
+            case TRANSITIONS ->
+                new TaskCommand.Transitions(
+                        dataCentre(unpacker), unpacker.unpackLong(), Packing.list(unpacker, CommandCodec::transition));
+            case RECONCILE ->
+                new TaskCommand.Reconcile(
+                        unpacker.unpackLong(),
+                        unpacker.unpackLong(),
+                        Packing.list(unpacker, CommandCodec::ownerChange));
+            case DELEGATE -> new TaskCommand.Delegate(dataCentre(unpacker), Packing.list(unpacker, CommandCodec::task));
+            case RESTART -> new TaskCommand.Restart(Packing.list(unpacker, CommandCodec::task));
+            case CANCEL_JOBS ->
+                new TaskCommand.CancelJobs(Packing.list(unpacker, from -> JobName.of(from.unpackString())));
+            case EXPLAIN ->
+                new TaskCommand.Explain(key(unpacker), unpacker.unpackBoolean(), Packing.optional(unpacker));
+            case DRAIN_WORKER ->
+                new TaskCommand.DrainWorker(WorkerId.of(unpacker.unpackString()), unpacker.unpackLong());
+            default ->
+                throw WaxwingheadException.of(
+                        ErrorKind.INTERNAL,
+                        "task command " + code + " is unknown",
+                        "run the same version on all entry hosts");
+        };
+    }
+
+    private static DataCentreId dataCentre(MessageUnpacker unpacker) throws IOException {
+        return DataCentreId.of(unpacker.unpackString());
+    }
+
+    private static TaskId task(MessageUnpacker unpacker) throws IOException {
+        return TaskId.of(unpacker.unpackString());
+    }
+
+    private static void ownerChange(MessageBufferPacker packer, TaskCommand.OwnerChange change) throws IOException {
+        key(packer, change.key());
+        packer.packLong(change.revision());
+        Packing.optional(packer, json(change.manifest()));
+    }
+
+    private static TaskCommand.OwnerChange ownerChange(MessageUnpacker unpacker) throws IOException {
+        return new TaskCommand.OwnerChange(key(unpacker), unpacker.unpackLong(), manifest(unpacker));
+    }
+
+    private static void transition(MessageBufferPacker packer, Transition transition) throws IOException {
+        packer.packString(transition.task().value()).packInt(transition.attempt());
+        if (transition instanceof Transition.Start start) {
+            packer.packNil().packString(start.worker().value()).packLong(start.incarnation());
+            Packing.resources(packer, start.resources());
+        } else {
+            Transition.Report report = (Transition.Report) transition;
+            packer.packInt(report.kind().code());
+            Packing.optional(packer, report.text());
+        }
+    }
+
+    private static Transition transition(MessageUnpacker unpacker) throws IOException {
+        TaskId task = task(unpacker);
+        int attempt = unpacker.unpackInt();
+        if (unpacker.tryUnpackNil()) {
+            return new Transition.Start(
+                    task,
+                    attempt,
+                    WorkerId.of(unpacker.unpackString()),
+                    unpacker.unpackLong(),
+                    Packing.resources(unpacker));
+        }
+        Transition.Kind kind = Transition.Kind.ofCode(unpacker.unpackInt());
+        return new Transition.Report(kind, task, attempt, Packing.optional(unpacker));
+    }
+}
--- /dev/null
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/tasks/ContentsCodec.java
@@ -0,0 +1,154 @@
+package dev.waxwinghead.daemon.tasks;
+
+import dev.waxwinghead.model.id.DataCentreId;
+import dev.waxwinghead.model.id.HostId;
+import dev.waxwinghead.model.id.TaskId;
+import dev.waxwinghead.model.id.WorkerId;
+import dev.waxwinghead.model.manifest.ManifestKey;
+import dev.waxwinghead.scheduling.task.Attempt;
+import dev.waxwinghead.scheduling.task.OwnerRecord;
+import dev.waxwinghead.scheduling.task.SchedulerTerm;
+import dev.waxwinghead.scheduling.task.TableContents;
+import dev.waxwinghead.scheduling.task.TaskRecord;
+import dev.waxwinghead.scheduling.task.TaskState;
+import java.io.IOException;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessageUnpacker;
+
+/** Writes the contents of the task table as MessagePack. */
+final class ContentsCodec {
+    private ContentsCodec() {}
+
+    static byte[] write(TableContents contents) {
+        return Packing.pack(packer -> {
+            packer.packLong(contents.configurationRevision());
+            Packing.list(packer, contents.owners(), ContentsCodec::owner);
+            Packing.list(packer, contents.tasks(), ContentsCodec::task);
+            Packing.list(packer, contents.schedulers(), ContentsCodec::scheduler);
+            packer.packMapHeader(contents.draining().size());
+            for (Map.Entry<WorkerId, Long> entry : contents.draining().entrySet()) {
+                packer.packString(entry.getKey().value()).packLong(entry.getValue());
+            }
+            packer.packMapHeader(contents.attemptFloors().size());
+            for (Map.Entry<ManifestKey, Integer> entry :
+                    contents.attemptFloors().entrySet()) {
+                CommandCodec.key(packer, entry.getKey());
+                packer.packInt(entry.getValue());
+            }
+            packer.packInt(contents.attemptFloor());
+        });
+    }
+
+    static TableContents read(byte[] bytes) {
+        return Packing.unpack(bytes, unpacker -> {
+            long revision = unpacker.unpackLong();
+            List<OwnerRecord> owners = Packing.list(unpacker, ContentsCodec::owner);
+            List<TaskRecord> tasks = Packing.list(unpacker, ContentsCodec::task);
+            List<SchedulerTerm> schedulers = Packing.list(unpacker, ContentsCodec::scheduler);
+            Map<WorkerId, Long> draining = new LinkedHashMap<>();
+            for (int left = unpacker.unpackMapHeader(); left > 0; left--) {
+                draining.put(WorkerId.of(unpacker.unpackString()), unpacker.unpackLong());
+            }
+            Map<ManifestKey, Integer> floors = new LinkedHashMap<>();
+            for (int left = unpacker.unpackMapHeader(); left > 0; left--) {
+                floors.put(CommandCodec.key(unpacker), unpacker.unpackInt());
+            }
+            return new TableContents(revision, tasks, owners, schedulers, draining, floors, unpacker.unpackInt());
+        });
+    }
+
+    private static void owner(MessageBufferPacker packer, OwnerRecord owner) throws IOException {
+        CommandCodec.key(packer, owner.key());
+        packer.packLong(owner.revision()).packLong(owner.templateRevision());
+        packer.packString(CommandCodec.json(owner.manifest()));
+        packer.packInt(owner.created()).packInt(owner.open());
+        packer.packString(owner.status().name()).packBoolean(owner.deleted());
+        Packing.optional(packer, owner.reason());
+    }
+
+    private static OwnerRecord owner(MessageUnpacker unpacker) throws IOException {
+        return new OwnerRecord(
+                CommandCodec.key(unpacker),
+                unpacker.unpackLong(),
+                unpacker.unpackLong(),
+                CommandCodec.manifest(unpacker),
+                unpacker.unpackInt(),
+                unpacker.unpackInt(),
+                OwnerRecord.Status.valueOf(unpacker.unpackString()),
+                unpacker.unpackBoolean(),
+                Packing.optional(unpacker));
+    }
+
+    private static void task(MessageBufferPacker packer, TaskRecord task) throws IOException {
+        packer.packString(task.id().value());
+        CommandCodec.key(packer, task.owner());
+        packer.packString(task.state().name());
+        Packing.optional(packer, task.dataCentre());
+        packer.packInt(task.attempts());
+        if (task.attempt() == null) {
+            packer.packNil();
+        } else {
+            Attempt attempt = task.attempt();
+            packer.packInt(attempt.number()).packString(attempt.worker().value());
+            packer.packLong(attempt.incarnation());
+            Packing.resources(packer, attempt.resources());
+            packer.packLong(attempt.revision());
+        }
+        Packing.optional(packer, task.checkpoint());
+        packer.packBoolean(task.cancelling()).packInt(task.failures());
+        Packing.optional(packer, task.message());
+    }
+
+    private static TaskRecord task(MessageUnpacker unpacker) throws IOException {
+        return new TaskRecord(
+                TaskId.of(unpacker.unpackString()),
+                CommandCodec.key(unpacker),
+                TaskState.valueOf(unpacker.unpackString()),
+                dataCentre(Packing.optional(unpacker)),
+                unpacker.unpackInt(),
+                attempt(unpacker),
+                Packing.optional(unpacker),
+                unpacker.unpackBoolean(),
+                unpacker.unpackInt(),
+                Packing.optional(unpacker));
+    }
+
+    private static Attempt attempt(MessageUnpacker unpacker) throws IOException {
+        if (unpacker.tryUnpackNil()) {
+            return null;
+        }
+        return new Attempt(
+                unpacker.unpackInt(),
+                WorkerId.of(unpacker.unpackString()),
+                unpacker.unpackLong(),
+                Packing.resources(unpacker),
+                unpacker.unpackLong());
+    }
+
+    private static DataCentreId dataCentre(String text) {
+        return text == null ? null : DataCentreId.of(text);
+    }
+
+    private static void scheduler(MessageBufferPacker packer, SchedulerTerm term) throws IOException {
+        packer.packString(term.dataCentre().value()).packLong(term.term());
+        Packing.optional(packer, term.host());
+        Packing.optional(packer, term.address());
+        packer.packLong(term.renewals()).packLong(term.leaseMillis());
+    }
+
+    private static SchedulerTerm scheduler(MessageUnpacker unpacker) throws IOException {
+        DataCentreId dataCentre = DataCentreId.of(unpacker.unpackString());
+        long term = unpacker.unpackLong();
+        String host = Packing.optional(unpacker);
+        return new SchedulerTerm(
+                dataCentre,
+                term,
+                host == null ? null : HostId.of(host),
+                Packing.optional(unpacker),
+                unpacker.unpackLong(),
+                unpacker.unpackLong());
+    }
+}
--- /dev/null
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/tasks/RollingRestart.java
@@ -0,0 +1,47 @@
+package dev.waxwinghead.daemon.tasks;
+
+import dev.waxwinghead.model.id.TaskId;
+import dev.waxwinghead.scheduling.task.OwnerRecord;
+import dev.waxwinghead.scheduling.task.TaskCommand;
+import dev.waxwinghead.scheduling.task.TaskRecord;
+import dev.waxwinghead.scheduling.task.TaskState;
+import dev.waxwinghead.scheduling.task.TaskTable;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+/** Replaces the tasks of changed services, a quarter of them at a time. */
+final class RollingRestart {
+    private static final int SHARE_DIVISOR = 4;
+
+    private final TaskTable table;
+
+    RollingRestart(TaskTable table) {
+        this.table = table;
+    }
+
+    Optional<TaskCommand> next() {
+        List<TaskId> tasks = new ArrayList<>();
+        for (OwnerRecord owner : table.owners()) {
+            if (owner.service() && owner.templateRevision() != 0) {
+                tasks.addAll(outdated(owner));
+            }
+        }
+        return tasks.isEmpty() ? Optional.empty() : Optional.of(new TaskCommand.Restart(tasks));
+    }
+
+    private List<TaskId> outdated(OwnerRecord owner) {
+        List<TaskId> outdated = new ArrayList<>();
+        int missing = 0;
+        for (int i = 0; i < owner.wanted(); i++) {
+            TaskRecord task = table.task(owner.taskId(i)).orElse(null);
+            if (task == null || task.state() != TaskState.RUNNING) {
+                missing++;
+            } else if (task.attempt().revision() < owner.templateRevision()) {
+                outdated.add(task.id());
+            }
+        }
+        int most = Math.max(1, owner.wanted() / SHARE_DIVISOR) - missing;
+        return outdated.subList(0, Math.max(0, Math.min(most, outdated.size())));
+    }
+}
--- /dev/null
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/tasks/TaskProposals.java
@@ -0,0 +1,32 @@
+package dev.waxwinghead.daemon.tasks;
+
+import dev.waxwinghead.daemon.part.DaemonContext;
+import dev.waxwinghead.daemon.state.SectionId;
+import dev.waxwinghead.model.time.Deadline;
+import dev.waxwinghead.scheduling.task.CommandResult;
+import dev.waxwinghead.scheduling.task.TaskCommand;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+
+/** Proposes task commands to the shared state. */
+final class TaskProposals {
+    private static final Duration PATIENCE = Duration.ofSeconds(5);
+
+    private final DaemonContext context;
+
+    TaskProposals(DaemonContext context) {
+        this.context = context;
+    }
+
+    CompletableFuture<CommandResult> propose(TaskCommand command) {
+        byte[] bytes = CommandCodec.write(command);
+        Deadline deadline = Deadline.after(PATIENCE, context.ticker());
+        return context.sharedState().propose(SectionId.TASKS, bytes, deadline).thenApply(CommandCodec::readResult);
+    }
+
+    /** Proposes a command that is proposed again anyway if this try fails. */
+    void proposeQuietly(TaskCommand command) {
+        CompletableFuture<Object> tried = propose(command).handle((result, failure) -> null);
+        assert tried != null;
+    }
+}
--- /dev/null
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/workers/package-info.java
@@ -0,0 +1,2 @@
+/** The interface through which workers poll. */
+package dev.waxwinghead.daemon.workers;
--- /dev/null
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/placement/PlacementIndex.java
@@ -0,0 +1,257 @@
+package dev.waxwinghead.scheduling.placement;
+
+import dev.waxwinghead.model.id.WorkerId;
+import dev.waxwinghead.model.resource.Resources;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.BitSet;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Predicate;
+
+/**
+ * Indexes the workers of one data centre by what is free on them, and chooses among them.
+ *
+ * <p>Commitments are exact: a task counts from {@link #commit} to {@link #release}, and no choice ever goes past a
+ * worker's capacity, also after a worker announced itself with less than it holds. Used by one thread at a time.
+ *
+ * @since 0.1
+ */
+public final class PlacementIndex {
+    /** How many workers are scored by expected harm for one choice. */
+    private static final int MAX_SCORED = 64;
+
+    private static final int INITIAL_SLOTS = 64;
+
+    private final Map<WorkerId, Integer> slotOf = new HashMap<>();
+    private final List<WorkerSlot> slots = new ArrayList<>();
+    private final SelectorCache selectors = new SelectorCache();
+    private final SpreadCounts spread = new SpreadCounts();
+    private final WorkerScore score;
+    private long[] freeMillicores = new long[INITIAL_SLOTS];
+    private long[] freeMemoryBytes = new long[INITIAL_SLOTS];
+    private long[] freeAccelerators = new long[INITIAL_SLOTS];
+    private int[] candidates = new int[INITIAL_SLOTS];
+    private int rotation;
+
+    private PlacementIndex(WorkerScore score) {
+        this.score = score;
+    }
+
+    /**
+     * Returns an empty index.
+     *
+     * @param score rates the workers that would do
+     * @return the index, never null
+     */
+    public static PlacementIndex create(WorkerScore score) {
+        return new PlacementIndex(score);
+    }
+
+    /**
+     * Adds a worker, or replaces what is known of it; its commitments stay.
+     *
+     * @param description the worker as it announced itself
+     */
+    public void describe(WorkerDescription description) {
+        Integer known = slotOf.get(description.id());
+        int slot = known == null ? add(description) : known;
+        WorkerDescription before = slots.get(slot).description();
+        slots.get(slot).describe(description);
+        if (known == null || !before.labels().equals(description.labels())) {
+            selectors.update(slot, description.labels());
+        }
+        refresh(slot);
+    }
+
+    /**
+     * Sets whether a worker takes new tasks.
+     *
+     * @param worker a worker of the index
+     * @param open whether it does
+     */
+    public void open(WorkerId worker, boolean open) {
+        int slot = slotOf.get(worker);
+        if (slots.get(slot).open() != open) {
+            slots.get(slot).open(open);
+            refresh(slot);
+        }
+    }
+
+    /**
+     * Counts a task against a worker.
+     *
+     * @param worker a worker of the index
+     * @param workload what the task is
+     * @param resources what it holds
+     */
+    public void commit(WorkerId worker, Workload workload, Resources resources) {
+        int slot = slotOf.get(worker);
+        slots.get(slot).commit(workload, resources);
+        spread.add(workload.owner(), slots.get(slot).description().rack(), 1);
+        refresh(slot);
+    }
+
+    /**
+     * Takes a task's count back.
+     *
+     * @param worker a worker of the index
+     * @param workload what the task was
+     * @param resources what it held
+     */
+    public void release(WorkerId worker, Workload workload, Resources resources) {
+        int slot = slotOf.get(worker);
+        slots.get(slot).release(workload, resources);
+        spread.add(workload.owner(), slots.get(slot).description().rack(), -1);
+        refresh(slot);
+    }
+
+    /**
+     * Tells whether a worker is known.
+     *
+     * @param worker the worker
+     * @return true once it was described
+     */
+    public boolean contains(WorkerId worker) {
+        return slotOf.containsKey(worker);
+    }
+
+    /**
+     * Returns what is committed on a worker.
+     *
+     * @param worker a worker of the index
+     * @return the exact sum, never null
+     */
+    public Resources committed(WorkerId worker) {
+        return slots.get(slotOf.get(worker)).committed();
+    }
+
+    /**
+     * Chooses a worker for a task. Nothing is committed by this.
+     *
+     * @param workload what the task is
+     * @param avoided workers that are chosen only if no other will do
+     * @return the choice, or why there is none
+     */
+    public PlacementDecision choose(Workload workload, Predicate<WorkerId> avoided) {
+        int found = collect(workload);
+        if (found == 0) {
+            return PlacementDecision.refused(PlacementReason.explain(workload, slots));
+        }
+        int preferred = keepUnlessAvoided(found, avoided);
+        int evenest = keepLeastUsed(preferred == 0 ? found : preferred, workload);
+        return PlacementDecision.on(
+                slots.get(best(evenest, workload)).description().id());
+    }
+
+    /**
+     * Explains why a workload could never run on the workers known, however idle they were.
+     *
+     * @param workload the workload
+     * @return the reason, empty if some worker could run it
+     */
+    public Optional<String> impossible(Workload workload) {
+        return PlacementReason.impossible(workload, slots);
+    }
+
+    private int add(WorkerDescription description) {
+        int slot = slots.size();
+        slots.add(new WorkerSlot(description));
+        slotOf.put(description.id(), slot);
+        if (slot == freeMillicores.length) {
+            freeMillicores = Arrays.copyOf(freeMillicores, 2 * slot);
+            freeMemoryBytes = Arrays.copyOf(freeMemoryBytes, 2 * slot);
+            freeAccelerators = Arrays.copyOf(freeAccelerators, 2 * slot);
+            candidates = new int[2 * slot];
+        }
+        return slot;
+    }
+
+    private void refresh(int index) {
+        WorkerSlot slot = slots.get(index);
+        Resources capacity = slot.description().capacity();
+        Resources committed = slot.committed();
+        freeMillicores[index] = slot.open() ? capacity.millicores() - committed.millicores() : Long.MIN_VALUE;
+        freeMemoryBytes[index] = capacity.memoryBytes() - committed.memoryBytes();
+        freeAccelerators[index] = capacity.accelerators() - committed.accelerators();
+    }
+
+    private int collect(Workload workload) {
+        Resources need = workload.resources();
+        BitSet matching = selectors.matches(workload.placement().workers(), slots);
+        int found = 0;
+        for (int i = 0; i < slots.size(); i++) {
+            boolean fits = freeMillicores[i] >= need.millicores()
+                    && freeMemoryBytes[i] >= need.memoryBytes()
+                    && freeAccelerators[i] >= need.accelerators();
+            if (fits && matching.get(i) && mayShare(slots.get(i).residents(), workload)) {
+                candidates[found++] = i;
+            }
+        }
+        return found;
+    }
+
+    private static boolean mayShare(Residents residents, Workload workload) {
+        return (workload.placement().beside() == null
+                        || residents.anyMatches(workload.placement().beside()))
+                && (workload.placement().notBeside() == null
+                        || !residents.anyMatches(workload.placement().notBeside()))
+                && !residents.anyForbids(workload);
+    }
+
+    private int keepUnlessAvoided(int found, Predicate<WorkerId> avoided) {
+        int kept = 0;
+        for (int i = 0; i < found; i++) {
+            if (!avoided.test(slots.get(candidates[i]).description().id())) {
+                int swapped = candidates[kept];
+                candidates[kept++] = candidates[i];
+                candidates[i] = swapped;
+            }
+        }
+        return kept;
+    }
+
+    private int keepLeastUsed(int found, Workload workload) {
+        int least = Integer.MAX_VALUE;
+        int kept = 0;
+        for (int i = 0; i < found; i++) {
+            int used = used(slots.get(candidates[i]), workload);
+            if (used < least) {
+                least = used;
+                kept = 0;
+            }
+            if (used == least) {
+                candidates[kept++] = candidates[i];
+            }
+        }
+        return kept;
+    }
+
+    private int used(WorkerSlot slot, Workload workload) {
+        return switch (workload.placement().spreadOver()) {
+            case NONE, DATA_CENTRE -> 0;
+            case WORKER -> slot.residents().count(workload.owner());
+            case RACK -> spread.onRack(workload.owner(), slot.description().rack());
+        };
+    }
+
+    /** Scores all candidates if they are few, else an even sample that starts elsewhere each time. */
+    private int best(int found, Workload workload) {
+        int scored = Math.min(found, MAX_SCORED);
+        int best = -1;
+        double least = Double.POSITIVE_INFINITY;
+        rotation = (rotation + 1) & 0xffff;
+        for (int i = 0; i < scored; i++) {
+            int at = found <= MAX_SCORED ? i : (int) (((long) i * found / scored + rotation) % found);
+            int candidate = candidates[at];
+            double value = score.of(slots.get(candidate), workload);
+            if (value < least) {
+                least = value;
+                best = candidate;
+            }
+        }
+        return best;
+    }
+}
--- /dev/null
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/placement/Residents.java
@@ -0,0 +1,78 @@
+package dev.waxwinghead.scheduling.placement;
+
+import dev.waxwinghead.model.label.Selector;
+import dev.waxwinghead.model.manifest.ManifestKey;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Counts the tasks of each workload on one worker. */
+final class Residents {
+    private final List<Group> groups = new ArrayList<>(4);
+
+    void add(Workload workload) {
+        Group group = find(workload.owner());
+        if (group == null) {
+            groups.add(new Group(workload));
+        } else {
+            group.count++;
+        }
+    }
+
+    void remove(ManifestKey owner) {
+        Group group = find(owner);
+        if (group != null && --group.count == 0) {
+            groups.remove(group);
+        }
+    }
+
+    int count(ManifestKey owner) {
+        Group group = find(owner);
+        return group == null ? 0 : group.count;
+    }
+
+    boolean anyMatches(Selector selector) {
+        for (Group group : groups) {
+            if (selector.matches(group.workload.labels())) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Tells whether a rule of a resident forbids the newcomer. */
+    boolean anyForbids(Workload newcomer) {
+        for (Group group : groups) {
+            Selector forbidden = group.workload.placement().notBeside();
+            if (forbidden != null && forbidden.matches(newcomer.labels())) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    double harm(Workload newcomer, HarmModel model) {
+        double sum = 0;
+        for (Group group : groups) {
+            sum += group.count * model.harm(newcomer, group.workload);
+        }
+        return sum;
+    }
+
+    private Group find(ManifestKey owner) {
+        for (Group group : groups) {
+            if (group.workload.owner().equals(owner)) {
+                return group;
+            }
+        }
+        return null;
+    }
+
+    private static final class Group {
+        private final Workload workload;
+        private int count = 1;
+
+        Group(Workload workload) {
+            this.workload = workload;
+        }
+    }
+}
--- /dev/null
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/placement/package-info.java
@@ -0,0 +1,2 @@
+/** Chooses workers for tasks, over an index of what each worker holds. */
+package dev.waxwinghead.scheduling.placement;
--- /dev/null
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/task/TableContents.java
@@ -0,0 +1,48 @@
+package dev.waxwinghead.scheduling.task;
+
+import dev.waxwinghead.model.id.WorkerId;
+import dev.waxwinghead.model.manifest.ManifestKey;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Holds the whole contents of a {@link TaskTable}, for a snapshot.
+ *
+ * @param configurationRevision the revision that the owners follow
+ * @param tasks all tasks
+ * @param owners all services and jobs
+ * @param schedulers the schedulers' terms
+ * @param draining the draining workers, with their incarnations
+ * @param attemptFloors the highest attempt numbers of recently forgotten owners, oldest first
+ * @param attemptFloor the highest attempt number of all others that were forgotten
+ * @since 0.1
+ */
+public record TableContents(
+        long configurationRevision,
+        List<TaskRecord> tasks,
+        List<OwnerRecord> owners,
+        List<SchedulerTerm> schedulers,
+        Map<WorkerId, Long> draining,
+        Map<ManifestKey, Integer> attemptFloors,
+        int attemptFloor) {
+    static TableContents of(
+            long configurationRevision,
+            Collection<TaskRecord> tasks,
+            Collection<OwnerRecord> owners,
+            Collection<SchedulerTerm> schedulers,
+            Map<WorkerId, Long> draining,
+            Map<ManifestKey, Integer> attemptFloors,
+            int attemptFloor) {
+        return new TableContents(
+                configurationRevision,
+                List.copyOf(tasks),
+                List.copyOf(owners),
+                List.copyOf(schedulers),
+                Map.copyOf(draining),
+                Collections.unmodifiableMap(new LinkedHashMap<>(attemptFloors)),
+                attemptFloor);
+    }
+}
