--- a/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/tcp/ChannelCodes.java
+++ b/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/tcp/ChannelCodes.java
@@ -15,6 +15,7 @@
             case UPSTREAMS -> 3;
             case SHARES -> 4;
             case SCHEDULERS -> 5;
+            case STATUS -> 6;
         };
     }
 
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/DaemonExecutors.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/DaemonExecutors.java
@@ -45,12 +45,7 @@
 
     private static ExecutorService pool(String name, int threads, Closer closer) {
         ThreadPoolExecutor pool = new ThreadPoolExecutor(
-                threads,
-                threads,
-                IDLE_SECONDS,
-                TimeUnit.SECONDS,
-                new ArrayBlockingQueue<>(QUEUE_LENGTH),
-                named(name));
+                threads, threads, IDLE_SECONDS, TimeUnit.SECONDS, new ArrayBlockingQueue<>(QUEUE_LENGTH), named(name));
         pool.allowCoreThreadTimeOut(true);
         closer.register(pool::shutdownNow);
         return pool;
