--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/DaemonMain.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/DaemonMain.java
@@ -48,7 +48,8 @@
             Runtime.getRuntime().addShutdownHook(new Thread(() -> endGracefully(daemon), "shutdown"));
             daemon.ended().thenAccept(System::exit).exceptionally(DaemonMain::exitOnFault);
         } catch (WaxwingheadException e) {
-            Logger.getLogger(DaemonMain.class).errorf("event=start-failed kind=%s message=%s", e.kind(), e.getMessage());
+            Logger.getLogger(DaemonMain.class)
+                    .errorf("event=start-failed kind=%s message=%s", e.kind(), e.getMessage());
             System.err.println("waxwingheadd: " + e.getMessage());
             System.exit(e.kind().exitStatus());
         }
