Let a checkpointed task run on

Cause: the scheduler reads the state checkpointed as 'runs and has just saved', and stops a task by a stop of its own; the stand-in worker ended it.

--- a/waxwinghead-testkit/src/main/java/dev/waxwinghead/testkit/worker/RefusedTask.java
+++ b/waxwinghead-testkit/src/main/java/dev/waxwinghead/testkit/worker/RefusedTask.java
@@ -24,6 +24,9 @@
     @Override
     public void lapse() {}
 
+    @Override
+    public void end() {}
+
     @Override
     public void leave() {}
 
--- a/waxwinghead-testkit/src/main/java/dev/waxwinghead/testkit/worker/ServiceTask.java
+++ b/waxwinghead-testkit/src/main/java/dev/waxwinghead/testkit/worker/ServiceTask.java
@@ -148,7 +148,14 @@
 
     @Override
     public void checkpoint() {
-        stop(0);
+        // An upstream has no work to save.
+    }
+
+    @Override
+    public synchronized void end() {
+        if (!phase.ended()) {
+            end("the worker ends");
+        }
     }
 
     @Override
