--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/workers/PollAnswerBody.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/workers/PollAnswerBody.java
@@ -4,6 +4,7 @@
 import dev.waxwinghead.model.id.TaskId;
 import dev.waxwinghead.model.resource.Resources;
 import dev.waxwinghead.scheduling.task.PollAnswer;
+import dev.waxwinghead.scheduling.task.ServiceTerms;
 import dev.waxwinghead.scheduling.task.WorkerCommand;
 import java.util.List;
 import java.util.Map;
@@ -28,7 +29,7 @@
             int attempt,
             Resources resources,
             Map<String, String> settings,
-            String service,
+            ServiceTerms service,
             String checkpoint,
             Long graceMillis,
             Long millicores) {
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/task/OwnerRecord.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/task/OwnerRecord.java
@@ -137,4 +137,11 @@
     OwnerRecord asDeleted() {
         return new OwnerRecord(key, revision, templateRevision, manifest, created, open, status, true, reason);
     }
+
+    /** Returns what its tasks announce themselves with; null for a job. */
+    ServiceTerms serviceTerms() {
+        return manifest instanceof ServiceManifest service
+                ? new ServiceTerms(service.name(), service.slots(), service.connections())
+                : null;
+    }
 }
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/task/PollHandler.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/task/PollHandler.java
@@ -142,7 +142,7 @@
                 attempt.number(),
                 attempt.resources(),
                 owner.settings(),
-                owner.service() ? owner.key().name() : null,
+                owner.serviceTerms(),
                 task.checkpoint());
     }
 
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/task/WorkerCommand.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/task/WorkerCommand.java
@@ -17,7 +17,7 @@
      * @param attempt the attempt
      * @param resources what it may hold
      * @param settings passed to the task
-     * @param service the service that it belongs to; null for a job's task
+     * @param service the terms of the service that it belongs to; null for a job's task
      * @param checkpoint where it resumes; null to start afresh
      */
     record Start(
@@ -25,7 +25,7 @@
             int attempt,
             Resources resources,
             Map<String, String> settings,
-            String service,
+            ServiceTerms service,
             String checkpoint)
             implements WorkerCommand {}
 
