--- a/waxwinghead-systemtests/src/test/java/dev/waxwinghead/systemtests/PathTests.java
+++ b/waxwinghead-systemtests/src/test/java/dev/waxwinghead/systemtests/PathTests.java
@@ -42,13 +42,10 @@
             ---
             """ + job("nightly");
 
-    @TempDir
-    private Path folder;
-
     private ProcessCluster cluster;
 
     @BeforeAll
-    void startCluster() throws InterruptedException {
+    void startCluster(@TempDir Path folder) throws InterruptedException {
         cluster = ProcessCluster.create(folder);
         cluster.addVoter("e1", "dc1");
         cluster.addVoter("e2", "dc1");
