Test bad input from outside, and name unknown options after arguments

The test found one fault: an unknown option behind a command's arguments was counted as an argument and not named.

--- a/waxwinghead-cli/src/main/java/dev/waxwinghead/cli/command/CancelCommand.java
+++ b/waxwinghead-cli/src/main/java/dev/waxwinghead/cli/command/CancelCommand.java
@@ -34,6 +34,7 @@
     @Override
     public Answer run(CommandContext context) {
         List<String> problems = new ArrayList<>();
+        ArgumentChecks.noOptions(jobs, problems);
         ChangeId changeId = change.changeId(problems);
         if (jobs.isEmpty()) {
             problems.add("cancel has no arguments; give the names of one or more jobs");
--- a/waxwinghead-cli/src/main/java/dev/waxwinghead/cli/command/DeleteCommand.java
+++ b/waxwinghead-cli/src/main/java/dev/waxwinghead/cli/command/DeleteCommand.java
@@ -41,6 +41,7 @@
     @Override
     public Answer run(CommandContext context) {
         List<String> problems = new ArrayList<>();
+        ArgumentChecks.noOptions(arguments, problems);
         ChangeId changeId = change.changeId(problems);
         Long expected = revision.expectedRevision(problems);
         List<String> keys = keys(problems);
--- a/waxwinghead-cli/src/main/java/dev/waxwinghead/cli/command/DescribeCommand.java
+++ b/waxwinghead-cli/src/main/java/dev/waxwinghead/cli/command/DescribeCommand.java
@@ -34,6 +34,7 @@
     @Override
     public Answer run(CommandContext context) {
         List<String> problems = new ArrayList<>();
+        ArgumentChecks.noOptions(arguments, problems);
         if (arguments.size() != 2) {
             problems.add("describe has " + arguments.size() + " arguments; give a kind and a name");
         }
--- a/waxwinghead-cli/src/main/java/dev/waxwinghead/cli/command/DrainCommand.java
+++ b/waxwinghead-cli/src/main/java/dev/waxwinghead/cli/command/DrainCommand.java
@@ -42,6 +42,7 @@
     @Override
     public Answer run(CommandContext context) {
         List<String> problems = new ArrayList<>();
+        ArgumentChecks.noOptions(arguments, problems);
         ChangeId changeId = change.changeId(problems);
         if (arguments.size() != 2 || !KINDS.contains(arguments.get(0))) {
             problems.add("drain needs one thing; give 'worker ID', 'upstream ID' or 'host IP:PORT'");
--- a/waxwinghead-cli/src/main/java/dev/waxwinghead/cli/command/GetCommand.java
+++ b/waxwinghead-cli/src/main/java/dev/waxwinghead/cli/command/GetCommand.java
@@ -34,6 +34,7 @@
     @Override
     public Answer run(CommandContext context) {
         List<String> problems = new ArrayList<>();
+        ArgumentChecks.noOptions(arguments, problems);
         if (arguments.isEmpty() || arguments.size() > 2) {
             problems.add("get has " + arguments.size() + " arguments; give a kind and at most one name");
         }
--- a/waxwinghead-cli/src/main/java/dev/waxwinghead/cli/command/RemoveMemberCommand.java
+++ b/waxwinghead-cli/src/main/java/dev/waxwinghead/cli/command/RemoveMemberCommand.java
@@ -30,6 +30,7 @@
     @Override
     public Answer run(CommandContext context) {
         List<String> problems = new ArrayList<>();
+        ArgumentChecks.noOptions(arguments, problems);
         if (arguments.size() != 1) {
             problems.add("members remove has " + arguments.size() + " arguments; give the id of one entry host");
         }
--- a/waxwinghead-cli/src/test/java/dev/waxwinghead/cli/CommandLineTests.java
+++ b/waxwinghead-cli/src/test/java/dev/waxwinghead/cli/CommandLineTests.java
@@ -98,6 +98,15 @@
             assertThat(host.bodies()).isEmpty();
         }
 
+        @ParameterizedTest
+        @ValueSource(strings = {"get jobs", "describe job a", "delete job a", "drain worker a", "cancel a", "status"})
+        void namesAnUnknownOption(String command) {
+            int status = run((command + " --colour red").split(" ", -1));
+
+            assertThat(status).isEqualTo(2);
+            assertThat(errors()).contains("--colour");
+        }
+
         @Test
         void reportsAllProblemsAtOnce() {
             runWith(JOB, "localhost:80", "get", "planets", "--output", "xml", "--timeout", "now");
