--- a/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/tcp/OutgoingLink.java
+++ b/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/tcp/OutgoingLink.java
@@ -244,7 +244,7 @@
 
         void end(Exception cause) {
             if (reason.isEmpty()) {
-                reason = String.valueOf(cause.getMessage());
+                reason = cause.getMessage() == null ? cause.getClass().getSimpleName() : cause.getMessage();
             }
             connection.close();
             outbox.close(reason);
--- a/waxwinghead-testkit/src/main/java/dev/waxwinghead/testkit/TestkitMain.java
+++ b/waxwinghead-testkit/src/main/java/dev/waxwinghead/testkit/TestkitMain.java
@@ -7,6 +7,7 @@
 import com.github.rvesse.airline.parser.errors.handlers.CollectAll;
 import dev.waxwinghead.model.error.WaxwingheadException;
 import dev.waxwinghead.testkit.load.LoadCommand;
+import dev.waxwinghead.testkit.relay.RelayCommand;
 import dev.waxwinghead.testkit.worker.WorkerCommand;
 import java.io.IOException;
 import java.io.UncheckedIOException;
@@ -15,7 +16,7 @@
 import java.util.concurrent.Callable;
 
 /**
- * Runs the programs that tests and demonstrations use: {@code worker} and {@code load}.
+ * Runs the programs that tests and demonstrations use: {@code worker}, {@code load} and {@code relay}.
  *
  * @since 0.1
  */
@@ -73,7 +74,7 @@
     private static Cli<Callable<Integer>> cli() {
         return Cli.<Callable<Integer>>builder("waxwinghead-testkit")
                 .withDescription("Programs for tests and demonstrations of waxwinghead")
-                .withCommands(WorkerCommand.class, LoadCommand.class)
+                .withCommands(WorkerCommand.class, LoadCommand.class, RelayCommand.class)
                 .withParser()
                 .withErrorHandler(new CollectAll())
                 .parent()
