--- a/waxwinghead-testkit/src/main/java/dev/waxwinghead/testkit/worker/TaskSettings.java
+++ b/waxwinghead-testkit/src/main/java/dev/waxwinghead/testkit/worker/TaskSettings.java
@@ -18,7 +18,7 @@
     /** After how many milliseconds of its run a task fails. */
     static final String EXIT_AFTER = "exitAfter";
 
-    /** How many milliseconds a stop or checkpoint takes. */
+    /** How many milliseconds a stop takes. */
     static final String STOP_MILLIS = "stopMillis";
 
     /** The processor time that a task uses, in thousandths of a core; its declared size if absent. */
@@ -27,6 +27,9 @@
     /** The memory that a task uses, in bytes; its declared size if absent. */
     static final String USED_MEMORY_BYTES = "usedMemoryBytes";
 
+    /** The tail latency that a service's task aims at, in milliseconds; without it, no latency is reported. */
+    static final String LATENCY_TARGET_MILLIS = "latencyTargetMillis";
+
     /** How many microseconds a running batch task adds to each request that its worker's upstreams serve. */
     static final String NOISE_MICROS = "noiseMicros";
 
