Send keyed requests at most once through claims in the shared state

The claim is committed before the request leaves and the answer is recorded before the caller gets it. Only its own dispatcher gives a claim up, after an attempt that surely did not run; nobody takes one over, so a dispatcher that wakes late can't run a request twice. Expiry goes by the median of the hosts' wall clocks, told in committed commands.

A keyed refusal says not-run only if the majority confirms that nobody holds the key, or if this host held it and gave it up. Without a majority it says unknown: an earlier send of the same key may have run on the other side.

--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/callers/Call.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/callers/Call.java
@@ -1,10 +1,12 @@
 package dev.waxwinghead.daemon.callers;
 
 import com.sun.net.httpserver.HttpExchange;
+import dev.waxwinghead.daemon.claims.ClaimStore;
 import dev.waxwinghead.model.id.UpstreamId;
 import java.util.HashSet;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Function;
 
 /** Follows one request from its arrival to its outcome. */
 final class Call {
@@ -12,6 +14,8 @@
     private final HttpExchange exchange;
     private final Set<UpstreamId> tried = new HashSet<>();
     private final AtomicBoolean finished = new AtomicBoolean();
+    private ClaimStore.Ticket ticket;
+    private volatile boolean holdsClaim;
     private volatile boolean countedAgainstLimits;
     private int attempts;
     private boolean mayHaveRun;
@@ -43,6 +47,23 @@
         return countedAgainstLimits;
     }
 
+    /** Returns the ticket of a keyed call, made at the first call. */
+    synchronized ClaimStore.Ticket ticket(Function<CallRequest, ClaimStore.Ticket> maker) {
+        if (ticket == null) {
+            ticket = maker.apply(request);
+        }
+        return ticket;
+    }
+
+    /** Records that the claim of the key is held. */
+    void holdClaim() {
+        holdsClaim = true;
+    }
+
+    boolean holdsClaim() {
+        return holdsClaim;
+    }
+
     synchronized Set<UpstreamId> tried() {
         return Set.copyOf(tried);
     }
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/callers/CallDispatcher.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/callers/CallDispatcher.java
@@ -16,6 +16,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 
 /**
  * Takes requests to upstreams: at once where a slot is free, else through a queue that is fair and bounded by the
@@ -115,26 +116,49 @@
         return queues.values().stream().mapToInt(FairQueue::size).sum();
     }
 
-    private Optional<WaxwingheadException> enqueue(Call call) {
+    /** Tells why a call would be refused now: nobody serves it, or the queue is too long for its deadline. */
+    synchronized Optional<WaxwingheadException> refusal(Call call) {
         CallRequest request = call.request();
         UpstreamTable.Throughput throughput = table.throughput(request.service());
         if (throughput.upstreams() == 0) {
             return Optional.of(noUpstream(request));
         }
-        FairQueue<Call> queue = queues.computeIfAbsent(request.service(), service -> FairQueue.create());
-        String flow = request.tenant() + "/" + request.trafficClass();
-        double weight = limits.weight(request.tenant(), request.trafficClass());
-        long wait = throughput.waitNanos(queue.ahead(flow, weight));
+        FairQueue<Call> queue = queues.get(request.service());
+        if (queue == null || queue.size() == 0) {
+            return Optional.empty();
+        }
+        long wait = throughput.waitNanos(queue.ahead(flow(request), weight(request)));
         long needed = wait + throughput.serviceNanos();
-        if (needed > request.deadline().remaining(ticker).toNanos()) {
-            return Optional.of(WaxwingheadException.of(
-                    ErrorKind.LIMITED,
-                    "the queue of service " + request.service() + " is about "
-                            + Duration.ofNanos(needed).toMillis() + " ms long, which is past the deadline",
-                    "send it again later or with a later deadline"));
+        if (needed <= request.deadline().remaining(ticker).toNanos()) {
+            return Optional.empty();
         }
-        queue.add(flow, weight, call, request.deadline().nanos());
-        return Optional.empty();
+        return Optional.of(WaxwingheadException.of(
+                ErrorKind.LIMITED,
+                "the queue of service " + request.service() + " is about "
+                        + Duration.ofNanos(needed).toMillis() + " ms long, which is past the deadline",
+                "send it again later or with a later deadline"));
+    }
+
+    private Optional<WaxwingheadException> enqueue(Call call) {
+        Optional<WaxwingheadException> refusal = refusal(call);
+        if (refusal.isEmpty()) {
+            CallRequest request = call.request();
+            queues.computeIfAbsent(request.service(), service -> FairQueue.create())
+                    .add(
+                            flow(request),
+                            weight(request),
+                            call,
+                            request.deadline().nanos());
+        }
+        return refusal;
+    }
+
+    private static String flow(CallRequest request) {
+        return request.tenant() + "/" + request.trafficClass();
+    }
+
+    private double weight(CallRequest request) {
+        return limits.weight(request.tenant(), request.trafficClass());
     }
 
     private WaxwingheadException noUpstream(CallRequest request) {
@@ -177,7 +201,7 @@
         Duration remaining = request.deadline().remaining(ticker);
         Duration time = RetryPolicy.attemptTime(request.kind().idempotent(), call.attempts(), remaining);
         call.startAttempt(reservation.upstream().id());
-        sender.send(request, reservation.upstream(), Deadline.after(time, ticker))
+        send(request, reservation, Deadline.after(time, ticker))
                 .thenAccept(result -> ended(call, reservation, result))
                 .exceptionally(failure -> {
                     reservation.abandoned();
@@ -186,6 +210,16 @@
                 });
     }
 
+    private CompletableFuture<AttemptResult> send(
+            CallRequest request, UpstreamTable.Reservation reservation, Deadline deadline) {
+        try {
+            return sender.send(request, reservation.upstream(), deadline);
+        } catch (RuntimeException e) {
+            // The request may have left already.
+            return CompletableFuture.completedFuture(AttemptResult.failed(AttemptEnd.BROKEN, e.toString()));
+        }
+    }
+
     private void ended(Call call, UpstreamTable.Reservation reservation, AttemptResult result) {
         meters.attempt(result.end());
         if (result.end() == AttemptEnd.ANSWERED) {
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/callers/CallerHandler.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/callers/CallerHandler.java
@@ -2,6 +2,7 @@
 
 import com.sun.net.httpserver.HttpExchange;
 import com.sun.net.httpserver.HttpHandler;
+import dev.waxwinghead.daemon.claims.RecordedAnswer;
 import dev.waxwinghead.model.error.ErrorKind;
 import dev.waxwinghead.model.error.WaxwingheadException;
 import dev.waxwinghead.model.time.Deadline;
@@ -20,7 +21,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /** Reads callers' requests, hands them to the dispatcher and gives each caller its outcome. */
-final class CallerHandler implements HttpHandler, CallDispatcher.AnswerHandler {
+final class CallerHandler implements HttpHandler, CallDispatcher.AnswerHandler, KeyedCalls.Endings {
     private static final long NOT_READY_MILLIS = 1_000;
     private static final long SETTLE_MILLIS = 50;
     private static final Duration LONGEST_WRITE = Duration.ofSeconds(5);
@@ -33,6 +34,7 @@
     private final AtomicInteger inFlight = new AtomicInteger();
     private final Set<AnswerBody> feeds = ConcurrentHashMap.newKeySet();
     private volatile CallDispatcher dispatcher;
+    private volatile KeyedCalls keyed;
     private volatile boolean leaving;
 
     private CallerHandler(Ticker ticker, RequestLimits limits, CallerMeters meters, RetryBudget budget) {
@@ -46,8 +48,9 @@
         return new CallerHandler(ticker, limits, meters, budget);
     }
 
-    void dispatchWith(CallDispatcher given) {
-        dispatcher = given;
+    void dispatchWith(CallDispatcher givenDispatcher, KeyedCalls givenKeyed) {
+        dispatcher = givenDispatcher;
+        keyed = givenKeyed;
     }
 
     int inFlight() {
@@ -73,15 +76,39 @@
         Call call = Call.of(request, exchange);
         Optional<String> limit = limits.enter(request.tenant(), request.trafficClass(), ticker.nanos());
         if (limit.isPresent()) {
-            WaxwingheadException failure = WaxwingheadException.of(
-                    ErrorKind.LIMITED, limit.get(), "send fewer requests, or have the limit raised");
-            end(call, Outcome.NOT_RUN, () -> responses.refuse(exchange, Outcome.NOT_RUN, failure));
+            refused(
+                    call,
+                    WaxwingheadException.of(
+                            ErrorKind.LIMITED, limit.get(), "send fewer requests, or have the limit raised"));
             return;
         }
         call.countsAgainstLimits();
+        if (request.kind() == CallKind.KEYED) {
+            dispatcher.refusal(call).ifPresentOrElse(failure -> refused(call, failure), () -> keyed.begin(call));
+        } else {
+            dispatcher.dispatch(call);
+        }
+    }
+
+    @Override
+    public void dispatch(Call call) {
         dispatcher.dispatch(call);
     }
 
+    @Override
+    public void replay(Call call, RecordedAnswer answer) {
+        end(
+                call,
+                Outcome.ANSWERED,
+                () -> responses.whole(
+                        call.exchange(), answer.status(), KeyedCalls.replayHeaders(answer), answer.body()));
+    }
+
+    @Override
+    public void refuse(Call call, Outcome outcome, WaxwingheadException failure) {
+        end(call, outcome, () -> responses.refuse(call.exchange(), outcome, failure));
+    }
+
     @Override
     public void answered(Call call, UpstreamAnswer answer, UpstreamTable.Reservation reservation) {
         budget.succeeded();
@@ -91,7 +118,13 @@
         if (answer.body().whole()) {
             reservation.answered();
             byte[] body = answer.body().bytes();
-            end(call, Outcome.ANSWERED, () -> responses.whole(call.exchange(), answer.status(), headers, body));
+            Runnable response = () ->
+                    end(call, Outcome.ANSWERED, () -> responses.whole(call.exchange(), answer.status(), headers, body));
+            if (call.holdsClaim() && body.length <= RecordedAnswer.MAX_BODY_BYTES) {
+                keyed.record(call, recorded(answer, body), response);
+            } else {
+                response.run();
+            }
         } else {
             stream(call, answer, headers, reservation);
         }
@@ -100,8 +133,11 @@
 
     @Override
     public void refused(Call call, WaxwingheadException failure) {
-        Outcome outcome = call.mayHaveRun() ? Outcome.UNKNOWN : Outcome.NOT_RUN;
-        end(call, outcome, () -> responses.refuse(call.exchange(), outcome, failure));
+        if (call.request().kind() == CallKind.KEYED) {
+            keyed.refuse(call, failure);
+        } else {
+            refuse(call, call.mayHaveRun() ? Outcome.UNKNOWN : Outcome.NOT_RUN, failure);
+        }
     }
 
     /**
@@ -179,6 +215,11 @@
         dispatcher.drainQueue(call.request().service());
     }
 
+    private static RecordedAnswer recorded(UpstreamAnswer answer, byte[] body) {
+        return RecordedAnswer.of(
+                answer.status(), answer.upstream().id().value(), HeaderRules.toCaller(answer.headers()), body);
+    }
+
     private static long length(UpstreamAnswer answer) {
         return answer.headers().entrySet().stream()
                 .filter(header -> header.getKey().equalsIgnoreCase("content-length"))
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/callers/CallersPart.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/callers/CallersPart.java
@@ -1,6 +1,7 @@
 package dev.waxwinghead.daemon.callers;
 
 import com.sun.net.httpserver.HttpExchange;
+import dev.waxwinghead.daemon.claims.ClaimsPart;
 import dev.waxwinghead.daemon.configuration.Configuration;
 import dev.waxwinghead.daemon.http.JsonExchange;
 import dev.waxwinghead.daemon.part.DaemonContext;
@@ -34,22 +35,25 @@
     private static final int SAVED_RESENDS = 10;
 
     private final UpstreamsPart upstreams;
+    private final ClaimsPart claims;
     private final Closer closer = Closer.create();
     private volatile CallerHandler handler;
     private volatile CallDispatcher dispatcher;
 
-    private CallersPart(UpstreamsPart upstreams) {
+    private CallersPart(UpstreamsPart upstreams, ClaimsPart claims) {
         this.upstreams = upstreams;
+        this.claims = claims;
     }
 
     /**
      * Returns the part, not started yet.
      *
      * @param upstreams the registry's part, started before this one
+     * @param claims the claims' part, started before this one
      * @return the part, never null
      */
-    public static CallersPart create(UpstreamsPart upstreams) {
-        return new CallersPart(upstreams);
+    public static CallersPart create(UpstreamsPart upstreams, ClaimsPart claims) {
+        return new CallersPart(upstreams, claims);
     }
 
     @Override
@@ -85,7 +89,7 @@
                 context.ticker(),
                 meters,
                 handler);
-        handler.dispatchWith(dispatcher);
+        handler.dispatchWith(dispatcher, KeyedCalls.create(claims.store(), context.ticker(), executor, handler));
         upstreams.registry().onChange(() -> context.pool().execute(dispatcher::drainQueues));
         route(context);
         every(context, QUEUE_TICK_MILLIS, () -> context.pool().execute(this::tendQueues));
--- /dev/null
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/claims/ClaimsPart.java
@@ -0,0 +1,81 @@
+package dev.waxwinghead.daemon.claims;
+
+import dev.waxwinghead.daemon.part.DaemonContext;
+import dev.waxwinghead.daemon.part.DaemonPart;
+import dev.waxwinghead.daemon.state.StateSection;
+import dev.waxwinghead.model.lifecycle.Closer;
+import dev.waxwinghead.model.time.Deadline;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+
+/** Keeps the claims of keyed requests. */
+public final class ClaimsPart implements DaemonPart {
+    private static final long TICK_MINUTES = 10;
+
+    private final ClaimsSection section = ClaimsSection.create();
+    private final Closer closer = Closer.create();
+    private volatile ClaimStore store;
+
+    private ClaimsPart() {}
+
+    /**
+     * Returns the part, not started yet.
+     *
+     * @return the part, never null
+     */
+    public static ClaimsPart create() {
+        return new ClaimsPart();
+    }
+
+    /**
+     * Returns the store.
+     *
+     * @return the store, null before the part is started
+     */
+    public ClaimStore store() {
+        return store;
+    }
+
+    @Override
+    public List<StateSection> sections() {
+        return List.of(section);
+    }
+
+    @Override
+    public void start(DaemonContext context) {
+        ClaimStore created = ClaimStore.create(
+                section,
+                context.sharedState(),
+                context.ticker(),
+                context.self(),
+                ThreadLocalRandom.current().nextLong(1, Long.MAX_VALUE));
+        store = created;
+        ScheduledFuture<?> ticking = context.timer()
+                .scheduleWithFixedDelay(
+                        () -> created.tick(context.self()).exceptionally(failure -> new byte[0]),
+                        TICK_MINUTES,
+                        TICK_MINUTES,
+                        TimeUnit.MINUTES);
+        closer.register(() -> ticking.cancel(false));
+        context.meters().gauge("waxwinghead.claims", section, ClaimsSection::size);
+    }
+
+    @Override
+    public CompletableFuture<Void> drain(Deadline deadline) {
+        return CompletableFuture.completedFuture(null);
+    }
+
+    @Override
+    public Map<String, Object> status() {
+        return Map.of("claims", section.size());
+    }
+
+    @Override
+    public void close() {
+        closer.close();
+    }
+}
--- /dev/null
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/claims/ClaimsSection.java
@@ -0,0 +1,199 @@
+package dev.waxwinghead.daemon.claims;
+
+import dev.waxwinghead.daemon.state.SectionId;
+import dev.waxwinghead.daemon.state.StateSection;
+import java.time.Duration;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentMap;
+
+/**
+ * Holds the claims of keyed requests.
+ *
+ * <p>A claim ends in three ways only: its own dispatcher releases it, an answer is recorded under it, or it expires
+ * after the retention. Nobody takes over another's claim, so a dispatcher that was frozen can't run a request twice.
+ */
+public final class ClaimsSection implements StateSection {
+    /** How long a claim is kept. */
+    static final Duration RETENTION = Duration.ofHours(24);
+
+    private final ClaimBounds bounds;
+    private final Map<String, ClaimRecord> claims = new LinkedHashMap<>();
+    private final Set<String> answered = new LinkedHashSet<>();
+    private final ConcurrentMap<String, ClaimRecord> view = new ConcurrentHashMap<>();
+    private final HostClocks clocks = HostClocks.create();
+    private long answerBytes;
+
+    private ClaimsSection(ClaimBounds bounds) {
+        this.bounds = bounds;
+    }
+
+    /**
+     * Returns an empty section.
+     *
+     * @return the section, never null
+     */
+    public static ClaimsSection create() {
+        return new ClaimsSection(ClaimBounds.DEFAULT);
+    }
+
+    static ClaimsSection create(ClaimBounds bounds) {
+        return new ClaimsSection(bounds);
+    }
+
+    @Override
+    public SectionId id() {
+        return SectionId.CLAIMS;
+    }
+
+    @Override
+    public byte[] apply(long index, byte[] bytes) {
+        return ClaimCodec.packResult(apply(ClaimCodec.unpackCommand(bytes)));
+    }
+
+    @Override
+    public byte[] snapshot() {
+        return ClaimCodec.pack(packer -> {
+            packer.packMapHeader(claims.size());
+            for (Map.Entry<String, ClaimRecord> claim : claims.entrySet()) {
+                packer.packString(claim.getKey());
+                ClaimCodec.packRecord(packer, claim.getValue());
+            }
+            packer.packArrayHeader(answered.size());
+            for (String key : answered) {
+                packer.packString(key);
+            }
+            clocks.packTo(packer);
+        });
+    }
+
+    @Override
+    public void restore(byte[] snapshot) {
+        claims.clear();
+        answered.clear();
+        answerBytes = 0;
+        ClaimCodec.unpack(snapshot, unpacker -> {
+            int count = unpacker.unpackMapHeader();
+            for (int i = 0; i < count; i++) {
+                String key = unpacker.unpackString();
+                ClaimRecord record = ClaimCodec.unpackRecord(unpacker);
+                claims.put(key, record);
+                answerBytes += bytesOf(record);
+            }
+            int answers = unpacker.unpackArrayHeader();
+            for (int i = 0; i < answers; i++) {
+                answered.add(unpacker.unpackString());
+            }
+            clocks.unpackFrom(unpacker);
+            return null;
+        });
+        view.keySet().retainAll(claims.keySet());
+        view.putAll(claims);
+    }
+
+    /** Returns a claim as this replica has it; may be called from any thread. */
+    Optional<ClaimRecord> find(String key) {
+        return Optional.ofNullable(view.get(key));
+    }
+
+    /** Returns how many claims this replica has; may be called from any thread. */
+    int size() {
+        return view.size();
+    }
+
+    private ClaimResult apply(ClaimCommand command) {
+        if (command instanceof ClaimCommand.Claim claim) {
+            return claim(claim);
+        }
+        if (command instanceof ClaimCommand.Complete complete) {
+            return complete(complete);
+        }
+        if (command instanceof ClaimCommand.Release release) {
+            return release(release);
+        }
+        return tick((ClaimCommand.Tick) command);
+    }
+
+    private ClaimResult claim(ClaimCommand.Claim claim) {
+        ClaimRecord known = claims.get(claim.key());
+        if (known != null) {
+            boolean own = known.nonce() == claim.nonce() && known.answer() == null;
+            return own ? ClaimResult.of(ClaimResult.Status.GRANTED) : ClaimResult.of(known, claim.digest());
+        }
+        if (claims.size() >= bounds.maxClaims()) {
+            return ClaimResult.of(ClaimResult.Status.FULL);
+        }
+        put(claim.key(), new ClaimRecord(claim.digest(), claim.dispatcher(), claim.nonce(), claim.epochMillis(), null));
+        return ClaimResult.of(ClaimResult.Status.GRANTED);
+    }
+
+    private ClaimResult complete(ClaimCommand.Complete complete) {
+        ClaimRecord known = claims.get(complete.key());
+        if (known == null || known.nonce() != complete.nonce() || known.answer() != null) {
+            return ClaimResult.of(ClaimResult.Status.FREE);
+        }
+        ClaimRecord record = known.answered(complete.answer());
+        put(complete.key(), record);
+        answered.add(complete.key());
+        answerBytes += bytesOf(record);
+        dropOldestAnswers();
+        return ClaimResult.of(ClaimResult.Status.ANSWERED);
+    }
+
+    private ClaimResult release(ClaimCommand.Release release) {
+        ClaimRecord known = claims.get(release.key());
+        if (known != null && known.nonce() == release.nonce() && known.answer() == null) {
+            remove(release.key());
+        }
+        return ClaimResult.of(ClaimResult.Status.FREE);
+    }
+
+    private ClaimResult tick(ClaimCommand.Tick tick) {
+        clocks.record(tick.host(), tick.epochMillis());
+        long cutoff = clocks.median() - RETENTION.toMillis();
+        Iterator<Map.Entry<String, ClaimRecord>> all = claims.entrySet().iterator();
+        while (all.hasNext()) {
+            Map.Entry<String, ClaimRecord> claim = all.next();
+            if (claim.getValue().claimedAtEpochMillis() < cutoff) {
+                all.remove();
+                forget(claim.getKey(), claim.getValue());
+            }
+        }
+        return ClaimResult.of(ClaimResult.Status.FREE);
+    }
+
+    private void dropOldestAnswers() {
+        Iterator<String> oldest = answered.iterator();
+        while (answerBytes > bounds.maxAnswerBytes() && oldest.hasNext()) {
+            String key = oldest.next();
+            oldest.remove();
+            ClaimRecord record = claims.get(key);
+            answerBytes -= bytesOf(record);
+            put(key, record.answered(null));
+        }
+    }
+
+    private void put(String key, ClaimRecord record) {
+        claims.put(key, record);
+        view.put(key, record);
+    }
+
+    private void remove(String key) {
+        forget(key, claims.remove(key));
+    }
+
+    private void forget(String key, ClaimRecord record) {
+        view.remove(key);
+        answered.remove(key);
+        answerBytes -= bytesOf(record);
+    }
+
+    private static int bytesOf(ClaimRecord record) {
+        return record.answer() == null ? 0 : record.answer().body().length;
+    }
+}
--- a/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/callers/StubUpstream.java
+++ b/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/callers/StubUpstream.java
@@ -35,6 +35,7 @@
     private volatile TestHost host;
     private volatile String address;
     private volatile String state = "serving";
+    private volatile boolean refusing;
 
     private StubUpstream(TestHost host, String id, String dataCentre, int port, HttpHandler handler)
             throws IOException {
@@ -88,6 +89,14 @@
         host = other;
     }
 
+    void refuseAll() {
+        refusing = true;
+    }
+
+    void acceptAll() {
+        refusing = false;
+    }
+
     void leave() throws IOException {
         state = "leaving";
         announce();
@@ -108,6 +117,11 @@
 
     private void run(HttpExchange exchange, HttpHandler handler) throws IOException {
         exchange.getRequestBody().readAllBytes();
+        if (refusing) {
+            exchange.getResponseHeaders().set("Waxwinghead-Outcome", "not-run");
+            reply(exchange, 503, "full");
+            return;
+        }
         runs.incrementAndGet();
         String key = exchange.getRequestHeaders().getFirst("Idempotency-Key");
         if (key != null) {
--- a/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/callers/TestCluster.java
+++ b/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/callers/TestCluster.java
@@ -87,13 +87,17 @@
             return CompletableFuture.supplyAsync(
                     () -> {
                         if (!majority) {
-                            throw WaxwingheadException.of(ErrorKind.NO_MAJORITY, "no majority", "try again later");
+                            throw noMajority();
                         }
                         return append(SectionedStateMachine.envelope(section, command));
                     },
                     threads);
         }
 
+        private WaxwingheadException noMajority() {
+            return WaxwingheadException.of(ErrorKind.NO_MAJORITY, "no majority", "try again later");
+        }
+
         private byte[] append(byte[] command) {
             synchronized (log) {
                 log.add(command);
@@ -108,7 +112,9 @@
 
         @Override
         public CompletableFuture<Long> readBarrier(Deadline deadline) {
-            return CompletableFuture.completedFuture((long) log.size());
+            return majority
+                    ? CompletableFuture.completedFuture((long) log.size())
+                    : CompletableFuture.failedFuture(noMajority());
         }
 
         @Override
--- a/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/callers/TestHost.java
+++ b/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/callers/TestHost.java
@@ -1,6 +1,7 @@
 package dev.waxwinghead.daemon.callers;
 
 import dev.waxwinghead.coordination.peer.PeerAddress;
+import dev.waxwinghead.daemon.claims.ClaimsPart;
 import dev.waxwinghead.daemon.configuration.Configuration;
 import dev.waxwinghead.daemon.configuration.ConfigurationView;
 import dev.waxwinghead.daemon.http.HttpListener;
@@ -42,7 +43,8 @@
     private final TestCluster.TestPeers peers;
     private final TestCluster.TestSharedState state;
     private final UpstreamsPart upstreams = UpstreamsPart.create();
-    private final CallersPart callers = CallersPart.create(upstreams);
+    private final ClaimsPart claims = ClaimsPart.create();
+    private final CallersPart callers = CallersPart.create(upstreams, claims);
     private final MeterRegistry meters = new SimpleMeterRegistry();
     private final HttpListener callerHttp;
     private final HttpListener workerHttp;
@@ -53,7 +55,7 @@
         this.id = id;
         this.dataCentre = dataCentre;
         this.peers = cluster.peersOf(id);
-        List<DaemonPart> parts = List.of(upstreams, callers);
+        List<DaemonPart> parts = List.of(upstreams, claims, callers);
         List<StateSection> sections =
                 parts.stream().flatMap(part -> part.sections().stream()).toList();
         this.state = cluster.new TestSharedState(SectionedStateMachine.of(sections));
