Share slots and connections of upstreams between entry hosts by leased loans

Each entry host of an upstream's data centre owns a fixed part of its slots and of the connections beyond them, and lends it by demand. A holder counts its lease from when it sent the request and lowers its own limit before it asks; the owner counts from its answer for lease, hold time and margin, so holders always stop first. Ownership never moves, so no agreement is needed and both sides of a cut go on with what they surely hold; a dead host's part lies idle until it is back. An owner that restarts lends once all peers have told what they keep, or after 12.5 s.

Ruled out: ownership by the host that an upstream announces to or by a rendezvous hash over live hosts; two hosts that see the group differently would both lend.

--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/callers/CallersPart.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/callers/CallersPart.java
@@ -6,6 +6,7 @@
 import dev.waxwinghead.daemon.http.JsonExchange;
 import dev.waxwinghead.daemon.part.DaemonContext;
 import dev.waxwinghead.daemon.part.DaemonPart;
+import dev.waxwinghead.daemon.shares.SharesPart;
 import dev.waxwinghead.daemon.state.StateSection;
 import dev.waxwinghead.daemon.upstreams.UpstreamsPart;
 import dev.waxwinghead.model.lifecycle.Closer;
@@ -36,12 +37,14 @@
 
     private final UpstreamsPart upstreams;
     private final ClaimsPart claims;
+    private final SharesPart shares;
     private final Closer closer = Closer.create();
     private volatile CallerHandler handler;
     private volatile CallDispatcher dispatcher;
 
-    private CallersPart(UpstreamsPart upstreams, ClaimsPart claims) {
+    private CallersPart(UpstreamsPart upstreams, SharesPart shares, ClaimsPart claims) {
         this.upstreams = upstreams;
+        this.shares = shares;
         this.claims = claims;
     }
 
@@ -49,11 +52,12 @@
      * Returns the part, not started yet.
      *
      * @param upstreams the registry's part, started before this one
+     * @param shares the shares' part, started before this one
      * @param claims the claims' part, started before this one
      * @return the part, never null
      */
-    public static CallersPart create(UpstreamsPart upstreams, ClaimsPart claims) {
-        return new CallersPart(upstreams, claims);
+    public static CallersPart create(UpstreamsPart upstreams, SharesPart shares, ClaimsPart claims) {
+        return new CallersPart(upstreams, shares, claims);
     }
 
     @Override
@@ -73,7 +77,7 @@
         UpstreamClients clients = UpstreamClients.create(context.ticker(), executor);
         UpstreamTable table = UpstreamTable.create(
                 upstreams.registry(),
-                SlotLimits.unshared(),
+                shares,
                 UpstreamChooser.create(context.dataCentre(), new SplittableRandom()),
                 context.ticker());
         upstreams.inFlightFrom(table::inFlight);
@@ -91,6 +95,7 @@
                 handler);
         handler.dispatchWith(dispatcher, KeyedCalls.create(claims.store(), context.ticker(), executor, handler));
         upstreams.registry().onChange(() -> context.pool().execute(dispatcher::drainQueues));
+        shares.onGain(() -> context.pool().execute(dispatcher::drainQueues));
         route(context);
         every(context, QUEUE_TICK_MILLIS, () -> context.pool().execute(this::tendQueues));
         every(context, CLEAN_TICK_MILLIS, () -> {
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/callers/UpstreamTable.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/callers/UpstreamTable.java
@@ -1,5 +1,7 @@
 package dev.waxwinghead.daemon.callers;
 
+import dev.waxwinghead.daemon.shares.Resource;
+import dev.waxwinghead.daemon.shares.SharesPart;
 import dev.waxwinghead.daemon.upstreams.Upstream;
 import dev.waxwinghead.daemon.upstreams.UpstreamRegistry;
 import dev.waxwinghead.model.id.ServiceName;
@@ -8,53 +10,64 @@
 import dev.waxwinghead.scheduling.routing.UpstreamChooser;
 import dev.waxwinghead.scheduling.routing.UpstreamLoad;
 import java.util.ArrayList;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
 
 /**
  * Holds the load of each upstream as this entry host sees it, and reserves slots on them.
  *
- * <p>One lock guards it; the registry's lock is taken inside it, never the other way round.
+ * <p>One lock guards it; those of the registry and of the shares are taken inside it, never the other way round.
  */
 final class UpstreamTable {
     private final UpstreamRegistry registry;
-    private final SlotLimits limits;
+    private final SharesPart shares;
     private final UpstreamChooser chooser;
     private final Ticker ticker;
-    private final Map<UpstreamId, UpstreamLoad> loads = new HashMap<>();
+    private final Map<Resource, Map<UpstreamId, UpstreamLoad>> loads = new EnumMap<>(Resource.class);
 
-    private UpstreamTable(UpstreamRegistry registry, SlotLimits limits, UpstreamChooser chooser, Ticker ticker) {
+    private UpstreamTable(UpstreamRegistry registry, SharesPart shares, UpstreamChooser chooser, Ticker ticker) {
         this.registry = registry;
-        this.limits = limits;
+        this.shares = shares;
         this.chooser = chooser;
         this.ticker = ticker;
+        for (Resource resource : Resource.values()) {
+            loads.put(resource, new HashMap<>());
+        }
     }
 
-    static UpstreamTable create(UpstreamRegistry registry, SlotLimits limits, UpstreamChooser chooser, Ticker ticker) {
-        return new UpstreamTable(registry, limits, chooser, ticker);
+    static UpstreamTable create(UpstreamRegistry registry, SharesPart shares, UpstreamChooser chooser, Ticker ticker) {
+        return new UpstreamTable(registry, shares, chooser, ticker);
     }
 
     /** Reserves a slot of the best upstream, of an untried one if there is any; empty if none has a free one. */
     synchronized Optional<Reservation> reserve(CallRequest request, Set<UpstreamId> tried) {
         long now = ticker.nanos();
+        Resource resource = resource(request);
+        List<Upstream> serving = registry.serving(request.service());
         Map<UpstreamId, Upstream> byId = new HashMap<>();
-        List<UpstreamLoad> all = new ArrayList<>();
-        List<UpstreamLoad> untried = new ArrayList<>();
-        for (Upstream upstream : registry.serving(request.service())) {
-            UpstreamLoad load = load(upstream);
-            load.limitTo(limits.slots(upstream));
+        List<UpstreamLoad> all = new ArrayList<>(serving.size());
+        List<UpstreamLoad> untried = new ArrayList<>(serving.size());
+        for (Upstream upstream : serving) {
+            UpstreamLoad load = load(upstream, resource);
+            load.limitTo(shares.limit(upstream, resource));
             byId.put(upstream.id(), upstream);
             all.add(load);
             if (!tried.contains(upstream.id())) {
                 untried.add(load);
             }
         }
-        return chooser.choose(untried.isEmpty() ? all : untried, now)
-                .map(load -> start(byId.get(load.upstream()), load, now));
+        Optional<Reservation> reservation = chooser.choose(untried.isEmpty() ? all : untried, now)
+                .flatMap(load -> start(byId.get(load.upstream()), resource, load, now));
+        if (reservation.isEmpty()) {
+            shares.wanted(serving, resource);
+        }
+        return reservation;
     }
 
     /** Returns the slots of a service over all upstreams, and how long one request holds one. */
@@ -64,9 +77,9 @@
         double latency = 0;
         int upstreams = 0;
         for (Upstream upstream : registry.serving(service)) {
-            UpstreamLoad load = load(upstream);
+            UpstreamLoad load = load(upstream, Resource.SLOTS);
             if (!load.ejected(now)) {
-                slots += limits.slots(upstream);
+                slots += shares.limit(upstream, Resource.SLOTS);
                 latency += load.latencyNanos(now);
                 upstreams++;
             }
@@ -75,24 +88,38 @@
     }
 
     synchronized int inFlight(UpstreamId upstream) {
-        UpstreamLoad load = loads.get(upstream);
-        return load == null ? 0 : load.inFlight();
+        return loads.values().stream()
+                .map(byId -> byId.get(upstream))
+                .filter(Objects::nonNull)
+                .mapToInt(UpstreamLoad::inFlight)
+                .sum();
     }
 
     /** Forgets upstreams that are gone and idle. */
     synchronized Set<UpstreamId> retainLive() {
-        loads.values().removeIf(load -> load.inFlight() == 0 && !registry.isServing(load.upstream()));
-        return new HashSet<>(loads.keySet());
+        Set<UpstreamId> live = new HashSet<>();
+        for (Map<UpstreamId, UpstreamLoad> byId : loads.values()) {
+            byId.values().removeIf(load -> load.inFlight() == 0 && !registry.isServing(load.upstream()));
+            live.addAll(byId.keySet());
+        }
+        return live;
     }
 
-    private Reservation start(Upstream upstream, UpstreamLoad load, long now) {
+    private Optional<Reservation> start(Upstream upstream, Resource resource, UpstreamLoad load, long now) {
+        if (!shares.tryStart(upstream, resource)) {
+            return Optional.empty();
+        }
         load.started(now);
-        return new Reservation(this, upstream, load, now);
+        return Optional.of(new Reservation(this, upstream, resource, load, now));
+    }
+
+    private static Resource resource(CallRequest request) {
+        return request.kind() == CallKind.FEED ? Resource.FEEDS : Resource.SLOTS;
     }
 
-    private UpstreamLoad load(Upstream upstream) {
-        return loads.computeIfAbsent(
-                upstream.id(), id -> UpstreamLoad.create(id, upstream.dataCentre(), upstream.slots()));
+    private UpstreamLoad load(Upstream upstream, Resource resource) {
+        return loads.get(resource)
+                .computeIfAbsent(upstream.id(), id -> UpstreamLoad.create(id, upstream.dataCentre(), 0));
     }
 
     /**
@@ -113,13 +140,16 @@
     static final class Reservation {
         private final UpstreamTable table;
         private final Upstream upstream;
+        private final Resource resource;
         private final UpstreamLoad load;
         private final long startedAt;
         private boolean released;
 
-        private Reservation(UpstreamTable table, Upstream upstream, UpstreamLoad load, long startedAt) {
+        private Reservation(
+                UpstreamTable table, Upstream upstream, Resource resource, UpstreamLoad load, long startedAt) {
             this.table = table;
             this.upstream = upstream;
+            this.resource = resource;
             this.load = load;
             this.startedAt = startedAt;
         }
@@ -149,6 +179,7 @@
                 if (!released) {
                     released = true;
                     ending.run();
+                    table.shares.ended(upstream, resource);
                 }
             }
         }
--- /dev/null
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/shares/ShareCodec.java
@@ -0,0 +1,93 @@
+package dev.waxwinghead.daemon.shares;
+
+import dev.waxwinghead.model.error.ErrorKind;
+import dev.waxwinghead.model.error.WaxwingheadException;
+import dev.waxwinghead.model.id.UpstreamId;
+import dev.waxwinghead.scheduling.routing.ShareRequest;
+import java.io.IOException;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessageUnpacker;
+
+/** Packs and unpacks what holders and owners of shares tell each other, in MessagePack. */
+final class ShareCodec {
+    private ShareCodec() {}
+
+    /** Asks an owner for shares of some upstreams, in one life of the holder's process. */
+    record Ask(long incarnation, Map<ShareKey, ShareRequest> requests) {}
+
+    static byte[] packAsk(Ask ask) {
+        try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+            packer.packLong(ask.incarnation()).packMapHeader(ask.requests().size());
+            for (Map.Entry<ShareKey, ShareRequest> entry : ask.requests().entrySet()) {
+                packKey(packer, entry.getKey());
+                ShareRequest request = entry.getValue();
+                packer.packLong(request.sequence()).packInt(request.keep()).packInt(request.want());
+            }
+            return packer.toByteArray();
+        } catch (IOException e) {
+            throw malformed(e);
+        }
+    }
+
+    static Ask unpackAsk(byte[] bytes) {
+        try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
+            long incarnation = unpacker.unpackLong();
+            Map<ShareKey, ShareRequest> requests = new LinkedHashMap<>();
+            int count = unpacker.unpackMapHeader();
+            for (int i = 0; i < count; i++) {
+                ShareKey key = unpackKey(unpacker);
+                requests.put(key, new ShareRequest(unpacker.unpackLong(), unpacker.unpackInt(), unpacker.unpackInt()));
+            }
+            return new Ask(incarnation, requests);
+        } catch (IOException e) {
+            throw malformed(e);
+        }
+    }
+
+    static byte[] packLimits(Map<ShareKey, Integer> limits) {
+        try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+            packer.packMapHeader(limits.size());
+            for (Map.Entry<ShareKey, Integer> entry : limits.entrySet()) {
+                packKey(packer, entry.getKey());
+                packer.packInt(entry.getValue());
+            }
+            return packer.toByteArray();
+        } catch (IOException e) {
+            throw malformed(e);
+        }
+    }
+
+    static Map<ShareKey, Integer> unpackLimits(byte[] bytes) {
+        try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
+            Map<ShareKey, Integer> limits = new LinkedHashMap<>();
+            int count = unpacker.unpackMapHeader();
+            for (int i = 0; i < count; i++) {
+                limits.put(unpackKey(unpacker), unpacker.unpackInt());
+            }
+            return limits;
+        } catch (IOException e) {
+            throw malformed(e);
+        }
+    }
+
+    private static void packKey(MessageBufferPacker packer, ShareKey key) throws IOException {
+        packer.packString(key.upstream().value());
+        packer.packBoolean(key.resource() == Resource.FEEDS);
+    }
+
+    private static ShareKey unpackKey(MessageUnpacker unpacker) throws IOException {
+        UpstreamId upstream = UpstreamId.of(unpacker.unpackString());
+        return new ShareKey(upstream, unpacker.unpackBoolean() ? Resource.FEEDS : Resource.SLOTS);
+    }
+
+    private static WaxwingheadException malformed(IOException cause) {
+        return WaxwingheadException.of(
+                ErrorKind.INCOMPATIBLE_PEER,
+                "a message about shares is malformed",
+                "run the same version on all entry hosts",
+                cause);
+    }
+}
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/upstreams/UpstreamRegistry.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/upstreams/UpstreamRegistry.java
@@ -166,6 +166,17 @@
         return services.containsKey(service);
     }
 
+    /**
+     * Returns all upstreams that are or were lately known, those that leave or are lost among them.
+     *
+     * @return the upstreams by id
+     */
+    public synchronized Map<UpstreamId, Upstream> known() {
+        Map<UpstreamId, Upstream> known = new HashMap<>();
+        entries.forEach((id, entry) -> known.put(id, entry.upstream()));
+        return known;
+    }
+
     /** Forgets upstreams whose lease ran out long ago. */
     void expire() {
         boolean ended = false;
--- a/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/callers/KeyedRequestsTests.java
+++ b/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/callers/KeyedRequestsTests.java
@@ -19,17 +19,14 @@
 import org.junit.jupiter.api.Test;
 
 class KeyedRequestsTests {
-    private final TestCluster cluster = new TestCluster();
-    private final List<TestHost> hosts = new ArrayList<>();
+    private final TestCluster cluster = new TestCluster("e1@dc1", "e2@dc1", "e3@dc1");
+    private final List<TestHost> hosts = cluster.addAll();
     private final List<StubUpstream> upstreams = new ArrayList<>();
     private final HttpClient client = HttpClient.newHttpClient();
     private final CountDownLatch hold = new CountDownLatch(1);
 
     @BeforeEach
     void start() throws Exception {
-        for (int i = 1; i <= 3; i++) {
-            hosts.add(cluster.addHost("e" + i, "dc1"));
-        }
         for (int i = 0; i < 3; i++) {
             int each = i;
             upstreams.add(StubUpstream.start(hosts.get(i), "u" + i, exchange -> {
--- a/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/callers/LeavingUpstreamTests.java
+++ b/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/callers/LeavingUpstreamTests.java
@@ -6,7 +6,6 @@
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
-import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -16,17 +15,14 @@
     private static final long BOUND_MILLIS = 3_000;
     private static final int REQUESTS = 30;
 
-    private final TestCluster cluster = new TestCluster();
-    private final List<TestHost> hosts = new ArrayList<>();
+    private final TestCluster cluster = new TestCluster("e1@dc1", "e2@dc1", "e3@dc2");
+    private final List<TestHost> hosts = cluster.addAll();
     private final HttpClient client = HttpClient.newHttpClient();
     private StubUpstream leaver;
     private StubUpstream stayer;
 
     @BeforeEach
     void start() throws Exception {
-        hosts.add(cluster.addHost("e1", "dc1"));
-        hosts.add(cluster.addHost("e2", "dc1"));
-        hosts.add(cluster.addHost("e3", "dc2"));
         leaver = StubUpstream.start(hosts.get(0), "u1", exchange -> StubUpstream.reply(exchange, 200, "u1"));
         stayer = StubUpstream.start(hosts.get(1), "u2", exchange -> StubUpstream.reply(exchange, 200, "u2"));
         Eventually.check(() -> {
--- a/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/callers/ResendTests.java
+++ b/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/callers/ResendTests.java
@@ -12,8 +12,8 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 class ResendTests {
-    private final TestCluster cluster = new TestCluster();
-    private final TestHost host = cluster.addHost("e1", "dc1");
+    private final TestCluster cluster = new TestCluster("e1@dc1");
+    private final TestHost host = cluster.addAll().get(0);
     private final HttpClient client = HttpClient.newHttpClient();
 
     @AfterEach
--- a/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/callers/TestCluster.java
+++ b/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/callers/TestCluster.java
@@ -13,6 +13,8 @@
 import dev.waxwinghead.model.id.HostId;
 import dev.waxwinghead.model.id.ReplicaId;
 import dev.waxwinghead.model.time.Deadline;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.EnumMap;
@@ -21,21 +23,38 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 
 /** Entry hosts of one process: peers in memory that can be cut, and one log that all state machines follow. */
 final class TestCluster implements AutoCloseable {
-    private final List<TestHost> hosts = new ArrayList<>();
+    private final List<TestHost> hosts = new CopyOnWriteArrayList<>();
     private final List<byte[]> log = new ArrayList<>();
     private final Map<HostId, Integer> sides = new ConcurrentHashMap<>();
     private final ExecutorService threads = Executors.newCachedThreadPool();
+    private final List<PeerAddress> declared = new ArrayList<>();
     private volatile boolean majority = true;
 
-    TestHost addHost(String id, String dataCentre, String... manifests) {
-        TestHost host = TestHost.start(this, HostId.of(id), DataCentreId.of(dataCentre), manifests);
-        hosts.add(host);
-        return host;
+    /** Declares the hosts, each as {@code id@dataCentre}; they are added one by one. */
+    TestCluster(String... hosts) {
+        for (String host : hosts) {
+            String[] parts = host.split("@", -1);
+            declared.add(new PeerAddress(
+                    HostId.of(parts[0]),
+                    DataCentreId.of(parts[1]),
+                    new InetSocketAddress(InetAddress.getLoopbackAddress(), 0)));
+        }
+    }
+
+    List<PeerAddress> declared() {
+        return declared;
+    }
+
+    /** Adds all declared hosts. */
+    List<TestHost> addAll(String... manifests) {
+        declared.forEach(each -> hosts.add(TestHost.start(this, each.host(), each.dataCentre(), manifests)));
+        return List.copyOf(hosts);
     }
 
     /** Puts hosts on a side; those of different sides can't reach each other. */
--- a/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/callers/TestHost.java
+++ b/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/callers/TestHost.java
@@ -8,6 +8,7 @@
 import dev.waxwinghead.daemon.part.DaemonContext;
 import dev.waxwinghead.daemon.part.DaemonPart;
 import dev.waxwinghead.daemon.settings.DaemonSettings;
+import dev.waxwinghead.daemon.shares.SharesPart;
 import dev.waxwinghead.daemon.state.SectionedStateMachine;
 import dev.waxwinghead.daemon.state.StateSection;
 import dev.waxwinghead.daemon.upstreams.UpstreamsPart;
@@ -43,8 +44,9 @@
     private final TestCluster.TestPeers peers;
     private final TestCluster.TestSharedState state;
     private final UpstreamsPart upstreams = UpstreamsPart.create();
+    private final SharesPart shares = SharesPart.create(upstreams);
     private final ClaimsPart claims = ClaimsPart.create();
-    private final CallersPart callers = CallersPart.create(upstreams, claims);
+    private final CallersPart callers = CallersPart.create(upstreams, shares, claims);
     private final MeterRegistry meters = new SimpleMeterRegistry();
     private final HttpListener callerHttp;
     private final HttpListener workerHttp;
@@ -55,7 +57,7 @@
         this.id = id;
         this.dataCentre = dataCentre;
         this.peers = cluster.peersOf(id);
-        List<DaemonPart> parts = List.of(upstreams, claims, callers);
+        List<DaemonPart> parts = List.of(upstreams, shares, claims, callers);
         List<StateSection> sections =
                 parts.stream().flatMap(part -> part.sections().stream()).toList();
         this.state = cluster.new TestSharedState(SectionedStateMachine.of(sections));
@@ -67,7 +69,7 @@
         workerHttp = closer.register(HttpListener.open(anyPort(), pool));
         operatorHttp = closer.register(HttpListener.open(anyPort(), pool));
         DaemonContext context = new DaemonContext(
-                settings(),
+                settings(cluster.declared()),
                 Ticker.system(),
                 state,
                 fixed(manifests),
@@ -150,7 +152,7 @@
         }
     }
 
-    private DaemonSettings settings() {
+    private DaemonSettings settings(List<PeerAddress> declared) {
         InetSocketAddress none = anyPort();
         return new DaemonSettings(
                 "test",
@@ -160,7 +162,7 @@
                 none,
                 none,
                 none,
-                List.of(new PeerAddress(id, dataCentre, none)),
+                declared,
                 List.of(id),
                 Optional.empty(),
                 Duration.ofSeconds(10),
--- a/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/callers/WholeAnswersTests.java
+++ b/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/callers/WholeAnswersTests.java
@@ -27,8 +27,8 @@
     private static final int CALLERS = 64;
     private static final int REQUESTS_PER_CALLER = 10;
 
-    private final TestCluster cluster = new TestCluster();
-    private final TestHost host = cluster.addHost("e1", "dc1");
+    private final TestCluster cluster = new TestCluster("e1@dc1");
+    private final TestHost host = cluster.addAll().get(0);
     private final HttpClient client = HttpClient.newHttpClient();
     private final List<StubUpstream> upstreams = new ArrayList<>();
 
