Judge workers by the jobs that fail on them, count quotas with borrowing, make room for urgent work

Cause: a worker that fails all it starts would take every task; urgent work and owners of lent quota waited for tasks to end. Ruled out: counting failures per worker alone, which would quarantine every worker for one broken job; a failure counts against the job alone once it fails on two workers and runs on none.

--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/tasks/ActingScheduler.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/tasks/ActingScheduler.java
@@ -1,11 +1,13 @@
 package dev.waxwinghead.daemon.tasks;
 
+import dev.waxwinghead.daemon.configuration.Configuration;
 import dev.waxwinghead.daemon.part.DaemonContext;
 import dev.waxwinghead.daemon.workers.PollReply;
 import dev.waxwinghead.model.error.ErrorKind;
 import dev.waxwinghead.model.error.WaxwingheadException;
 import dev.waxwinghead.model.id.TaskId;
 import dev.waxwinghead.model.manifest.ManifestKey;
+import dev.waxwinghead.model.manifest.QuotaManifest;
 import dev.waxwinghead.model.time.Ticker;
 import dev.waxwinghead.scheduling.placement.HarmModel;
 import dev.waxwinghead.scheduling.placement.WorkerScore;
@@ -25,6 +27,8 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.function.Function;
+import java.util.stream.Collectors;
 import org.jboss.logging.Logger;
 
 /**
@@ -51,6 +55,7 @@
     private boolean proposing;
     private boolean inDoubt;
     private boolean leaving;
+    private long quotaRevision;
 
     ActingScheduler(DaemonContext context, TaskTable table, TaskProposals proposals) {
         this.context = context;
@@ -102,6 +107,7 @@
         }
         renewIfDue();
         takeChanges();
+        takeQuotas();
         scheduler.tick(ticker.nanos());
         flush();
     }
@@ -165,6 +171,16 @@
         }
     }
 
+    private void takeQuotas() {
+        Configuration configuration = context.configuration().current();
+        if (configuration.revision() != quotaRevision) {
+            quotaRevision = configuration.revision();
+            scheduler.quotas(configuration
+                    .all(QuotaManifest.class)
+                    .collect(Collectors.toMap(QuotaManifest::name, Function.identity())));
+        }
+    }
+
     private void acquireIfDue() {
         if (leaving || acquiring || !election.due(ticker.nanos(), inDoubt)) {
             return;
@@ -192,6 +208,7 @@
         following = true;
         inDoubt = false;
         proposing = false;
+        quotaRevision = 0;
         scheduler = DataCentreScheduler.create(
                 term, table, times, WorkerScore.byHarm(HarmModel.NONE), sent, ticker.nanos());
         LOG.infof("scheduler of %s in term %d", context.dataCentre(), result.term());
--- /dev/null
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/health/package-info.java
@@ -0,0 +1,2 @@
+/** Tells workers that fail their tasks from jobs that fail everywhere. */
+package dev.waxwinghead.scheduling.health;
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/placement/FitScore.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/placement/FitScore.java
@@ -12,4 +12,9 @@
     double of(WorkerSlot slot, Workload workload) {
         return weight == 0 ? 0 : weight * HarmScore.leftOver(slot, workload);
     }
+
+    @Override
+    boolean sampled() {
+        return false;
+    }
 }
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/placement/HarmScore.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/placement/HarmScore.java
@@ -29,4 +29,9 @@
     private static double freeShare(long capacity, long used) {
         return capacity == 0 ? 0 : (double) (capacity - used) / capacity;
     }
+
+    @Override
+    boolean sampled() {
+        return true;
+    }
 }
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/placement/PlacementIndex.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/placement/PlacementIndex.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Predicate;
 
 /**
@@ -24,6 +25,7 @@
     private static final int MAX_SCORED = 64;
 
     private static final int INITIAL_SLOTS = 64;
+    private static final int ROTATION_MASK = 0xffff;
 
     private final Map<WorkerId, Integer> slotOf = new HashMap<>();
     private final List<WorkerSlot> slots = new ArrayList<>();
@@ -80,6 +82,16 @@
         }
     }
 
+    /**
+     * Sets whether the filter of a choice is asked about a worker.
+     *
+     * @param worker a worker of the index
+     * @param restricted whether it is
+     */
+    public void restrict(WorkerId worker, boolean restricted) {
+        slots.get(slotOf.get(worker)).restricted(restricted);
+    }
+
     /**
      * Counts a task against a worker.
      *
@@ -132,20 +144,44 @@
      * Chooses a worker for a task. Nothing is committed by this.
      *
      * @param workload what the task is
+     * @param allowed asked about restricted workers only
      * @param avoided workers that are chosen only if no other will do
      * @return the choice, or why there is none
      */
-    public PlacementDecision choose(Workload workload, Predicate<WorkerId> avoided) {
-        int found = collect(workload);
+    public PlacementDecision choose(Workload workload, Predicate<WorkerId> allowed, Set<WorkerId> avoided) {
+        int found = collect(workload, allowed);
         if (found == 0) {
             return PlacementDecision.refused(PlacementReason.explain(workload, slots));
         }
-        int preferred = keepUnlessAvoided(found, avoided);
+        int preferred = avoided.isEmpty() ? found : keepUnlessAvoided(found, avoided);
         int evenest = keepLeastUsed(preferred == 0 ? found : preferred, workload);
         return PlacementDecision.on(
                 slots.get(best(evenest, workload)).description().id());
     }
 
+    /**
+     * Returns workers that could run a workload if other tasks made room.
+     *
+     * @param workload the workload
+     * @param allowed asked about restricted workers only
+     * @param most the most to return
+     * @return some of the workers, starting elsewhere each time
+     */
+    public List<WorkerId> withRoomWhenIdle(Workload workload, Predicate<WorkerId> allowed, int most) {
+        BitSet matching = selectors.matches(workload.placement().workers(), slots);
+        List<WorkerId> found = new ArrayList<>();
+        rotation = (rotation + 1) & ROTATION_MASK;
+        for (int i = 0; i < slots.size() && found.size() < most; i++) {
+            int at = (i + rotation) % slots.size();
+            WorkerSlot slot = slots.get(at);
+            boolean fits = workload.resources().fitsIn(slot.description().capacity());
+            if (slot.open() && matching.get(at) && fits && admits(slot, workload, allowed)) {
+                found.add(slot.description().id());
+            }
+        }
+        return found;
+    }
+
     /**
      * Explains why a workload could never run on the workers known, however idle they were.
      *
@@ -178,7 +214,7 @@
         freeAccelerators[index] = capacity.accelerators() - committed.accelerators();
     }
 
-    private int collect(Workload workload) {
+    private int collect(Workload workload, Predicate<WorkerId> allowed) {
         Resources need = workload.resources();
         BitSet matching = selectors.matches(workload.placement().workers(), slots);
         int found = 0;
@@ -186,13 +222,17 @@
             boolean fits = freeMillicores[i] >= need.millicores()
                     && freeMemoryBytes[i] >= need.memoryBytes()
                     && freeAccelerators[i] >= need.accelerators();
-            if (fits && matching.get(i) && mayShare(slots.get(i).residents(), workload)) {
+            if (fits && matching.get(i) && admits(slots.get(i), workload, allowed)) {
                 candidates[found++] = i;
             }
         }
         return found;
     }
 
+    private static boolean admits(WorkerSlot slot, Workload workload, Predicate<WorkerId> allowed) {
+        return (!slot.restricted() || allowed.test(slot.description().id())) && mayShare(slot.residents(), workload);
+    }
+
     private static boolean mayShare(Residents residents, Workload workload) {
         return (workload.placement().beside() == null
                         || residents.anyMatches(workload.placement().beside()))
@@ -201,10 +241,10 @@
                 && !residents.anyForbids(workload);
     }
 
-    private int keepUnlessAvoided(int found, Predicate<WorkerId> avoided) {
+    private int keepUnlessAvoided(int found, Set<WorkerId> avoided) {
         int kept = 0;
         for (int i = 0; i < found; i++) {
-            if (!avoided.test(slots.get(candidates[i]).description().id())) {
+            if (!avoided.contains(slots.get(candidates[i]).description().id())) {
                 int swapped = candidates[kept];
                 candidates[kept++] = candidates[i];
                 candidates[i] = swapped;
@@ -239,12 +279,12 @@
 
     /** Scores all candidates if they are few, else an even sample that starts elsewhere each time. */
     private int best(int found, Workload workload) {
-        int scored = Math.min(found, MAX_SCORED);
+        int scored = score.sampled() ? Math.min(found, MAX_SCORED) : found;
         int best = -1;
         double least = Double.POSITIVE_INFINITY;
-        rotation = (rotation + 1) & 0xffff;
+        rotation = (rotation + 1) & ROTATION_MASK;
         for (int i = 0; i < scored; i++) {
-            int at = found <= MAX_SCORED ? i : (int) (((long) i * found / scored + rotation) % found);
+            int at = found == scored ? i : (int) (((long) i * found / scored + rotation) % found);
             int candidate = candidates[at];
             double value = score.of(slots.get(candidate), workload);
             if (value < least) {
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/placement/WorkerScore.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/placement/WorkerScore.java
@@ -38,4 +38,7 @@
 
     /** Rates a worker that fits. */
     abstract double of(WorkerSlot slot, Workload workload);
+
+    /** Tells whether a sample of the workers that fit is enough. */
+    abstract boolean sampled();
 }
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/placement/WorkerSlot.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/placement/WorkerSlot.java
@@ -8,6 +8,7 @@
     private WorkerDescription description;
     private Resources committed = Resources.NONE;
     private boolean open = true;
+    private boolean restricted;
 
     WorkerSlot(WorkerDescription description) {
         this.description = description;
@@ -37,6 +38,14 @@
         open = next;
     }
 
+    boolean restricted() {
+        return restricted;
+    }
+
+    void restricted(boolean next) {
+        restricted = next;
+    }
+
     void commit(Workload workload, Resources resources) {
         committed = committed.plus(resources);
         residents.add(workload);
--- /dev/null
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/quota/package-info.java
@@ -0,0 +1,2 @@
+/** Quotas of teams, with borrowing of what other teams leave free. */
+package dev.waxwinghead.scheduling.quota;
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/task/Commitments.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/task/Commitments.java
@@ -33,13 +33,13 @@
         }
     }
 
-    void put(TaskId task, int attempt, WorkerId worker, Workload workload, Resources resources) {
+    void put(TaskId task, int attempt, WorkerId worker, Workload workload, Resources resources, long now) {
         Commitment before = byTask.get(task);
         if (before != null && before.attempt == attempt && before.worker.equals(worker)) {
             return;
         }
         remove(task);
-        Commitment held = new Commitment(attempt, worker, workload, resources);
+        Commitment held = new Commitment(attempt, worker, workload, resources, now);
         byTask.put(task, held);
         byWorker.computeIfAbsent(worker, key -> new LinkedHashMap<>()).put(task, held);
         if (index.contains(worker)) {
@@ -70,9 +70,14 @@
         return onWorker(worker).keySet();
     }
 
+    /** Returns since when a task has been counted. */
+    long sinceNanos(TaskId task) {
+        return byTask.get(task).sinceNanos;
+    }
+
     private Map<TaskId, Commitment> onWorker(WorkerId worker) {
         return byWorker.getOrDefault(worker, Map.of());
     }
 
-    private record Commitment(int attempt, WorkerId worker, Workload workload, Resources resources) {}
+    private record Commitment(int attempt, WorkerId worker, Workload workload, Resources resources, long sinceNanos) {}
 }
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/task/DataCentreScheduler.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/task/DataCentreScheduler.java
@@ -2,17 +2,19 @@
 
 import dev.waxwinghead.model.id.DataCentreId;
 import dev.waxwinghead.model.id.TaskId;
+import dev.waxwinghead.model.id.TeamName;
 import dev.waxwinghead.model.id.WorkerId;
 import dev.waxwinghead.model.manifest.ManifestKey;
-import dev.waxwinghead.scheduling.placement.PlacementDecision;
+import dev.waxwinghead.model.manifest.QuotaManifest;
+import dev.waxwinghead.scheduling.health.WorkerHealth;
 import dev.waxwinghead.scheduling.placement.PlacementIndex;
 import dev.waxwinghead.scheduling.placement.WorkerScore;
 import dev.waxwinghead.scheduling.placement.Workload;
+import dev.waxwinghead.scheduling.quota.QuotaLedger;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 
 /**
  * Schedules the tasks of one data centre in one term.
@@ -24,7 +26,6 @@
  * @since 0.1
  */
 public final class DataCentreScheduler {
-    private static final int MOST_PLACEMENTS_PER_TICK = 4_000;
     private static final long FIRST_RETRY_NANOS = 1_000_000_000L;
     private static final int MOST_RETRY_DOUBLINGS = 6;
 
@@ -38,9 +39,12 @@
     private final WaitingQueue queue = new WaitingQueue();
     private final Outbox outbox = new Outbox();
     private final Map<WorkerId, WorkerEntry> workers = new HashMap<>();
-    private final Map<ManifestKey, String> refusals = new HashMap<>();
+    private final WorkerHealth health = WorkerHealth.create();
+    private final QuotaLedger quotas = QuotaLedger.create();
+    private final PlacementRound placement;
     private final PollHandler polls;
     private long authorityUntilNanos;
+    private long lastNanos;
 
     private DataCentreScheduler(
             SchedulerTerm term, TaskTable table, SchedulerTimes times, WorkerScore score, long sentNanos, long now) {
@@ -51,7 +55,9 @@
         this.predecessorEndNanos = now + SchedulerTimes.surelyOverNanos(term);
         this.index = PlacementIndex.create(score);
         this.commitments = new Commitments(index);
-        this.polls = new PollHandler(table, outbox, commitments, times);
+        this.polls = new PollHandler(table, outbox, commitments, times, health);
+        this.placement = new PlacementRound(table, queue, outbox, commitments, index, health, quotas, workers);
+        this.lastNanos = now;
         renewed(sentNanos);
         table.tasks().forEach(task -> refresh(task.id()));
     }
@@ -108,15 +114,20 @@
     public void refresh(TaskId id) {
         TaskRecord task = table.task(id).orElse(null);
         OwnerRecord owner = task == null ? null : table.owner(task.owner()).orElse(null);
+        boolean startPending = outbox.pending(id) instanceof Transition.Start;
+        if (owner != null && task.attempt() != null) {
+            quotas.hold(id, owner.team(), task.attempt().resources());
+        } else if (!startPending) {
+            quotas.release(id);
+        }
         if (owner == null || !dataCentre.equals(task.dataCentre())) {
             commitments.remove(id);
             queue.remove(id);
             return;
         }
-        boolean startPending = outbox.pending(id) instanceof Transition.Start;
         if (task.attempt() != null) {
             Attempt live = task.attempt();
-            commitments.put(id, live.number(), live.worker(), workload(owner), live.resources());
+            commitments.put(id, live.number(), live.worker(), workload(owner), live.resources(), lastNanos);
         } else if (!startPending) {
             commitments.remove(id);
         }
@@ -127,6 +138,15 @@
         }
     }
 
+    /**
+     * Replaces the quotas.
+     *
+     * @param next the quotas by team
+     */
+    public void quotas(Map<TeamName, QuotaManifest> next) {
+        quotas.quotas(next);
+    }
+
     /**
      * Answers a worker's poll.
      *
@@ -149,11 +169,13 @@
         } else {
             entry.update(report, now);
         }
+        lastNanos = now;
         entry.heard(report.schedulerTerm() == term);
         entry.grant(now + SchedulerTimes.withMargin(times.workerLeaseNanos()));
         commitments.describe(report.worker());
         index.open(id, takesTasks(entry));
         List<WorkerCommand> commands = polls.handle(report, entry, now);
+        entry.retain(commitments.tasksOn(id));
         return new PollAnswer(term, times.workerLeaseNanos(), commands);
     }
 
@@ -166,10 +188,12 @@
         if (!authorized(now)) {
             return;
         }
+        lastNanos = now;
         loseSilentWorkers(now);
+        reviewWorkers(now);
         moveFromDrainingWorkers();
         queue.due(now).forEach(this::refresh);
-        placeWaiting();
+        placement.placeWaiting(now);
     }
 
     /**
@@ -202,7 +226,7 @@
      * @return the reasons by owner
      */
     public Map<ManifestKey, String> refusals() {
-        return Map.copyOf(refusals);
+        return placement.refusals();
     }
 
     /**
@@ -225,7 +249,10 @@
         if (entry.lost()) {
             return WorkerSummary.State.LOST;
         }
-        return drains(id, entry) ? WorkerSummary.State.DRAINING : WorkerSummary.State.READY;
+        if (drains(id, entry)) {
+            return WorkerSummary.State.DRAINING;
+        }
+        return health.quarantined(id) ? WorkerSummary.State.QUARANTINED : WorkerSummary.State.READY;
     }
 
     private boolean drains(WorkerId id, WorkerEntry entry) {
@@ -268,6 +295,13 @@
                         attempt -> outbox.add(new Transition.Report(Transition.Kind.LOST, id, attempt.number(), null)));
     }
 
+    private void reviewWorkers(long now) {
+        for (WorkerId worker : workers.keySet()) {
+            health.review(worker, now);
+            index.restrict(worker, health.restricted(worker));
+        }
+    }
+
     private void moveFromDrainingWorkers() {
         workers.forEach((id, entry) -> {
             if (drains(id, entry) && entry.heard()) {
@@ -284,41 +318,6 @@
         }
     }
 
-    private void placeWaiting() {
-        refusals.clear();
-        int placed = 0;
-        for (ManifestKey key : queue.owners()) {
-            Optional<OwnerRecord> owner = table.owner(key);
-            while (owner.isPresent() && placed < MOST_PLACEMENTS_PER_TICK && placeFirst(owner.get())) {
-                placed++;
-            }
-        }
-    }
-
-    private boolean placeFirst(OwnerRecord owner) {
-        TaskId id = queue.first(owner.key());
-        TaskRecord task = id == null ? null : table.task(id).orElse(null);
-        if (task == null || task.state() != TaskState.WAITING) {
-            return false;
-        }
-        Workload workload = workload(owner);
-        PlacementDecision decision = index.choose(workload, worker -> false);
-        if (decision.worker().isEmpty()) {
-            refusals.put(owner.key(), decision.reason());
-            return false;
-        }
-        start(task, workload, decision.worker().get());
-        return true;
-    }
-
-    private void start(TaskRecord task, Workload workload, WorkerId worker) {
-        int attempt = task.attempts() + 1;
-        long incarnation = workers.get(worker).incarnation();
-        outbox.add(new Transition.Start(task.id(), attempt, worker, incarnation, workload.resources()));
-        commitments.put(task.id(), attempt, worker, workload, workload.resources());
-        queue.remove(task.id());
-    }
-
     private void delayRetry(Transition transition, long now) {
         boolean failed = transition instanceof Transition.Report report
                 && (report.kind() == Transition.Kind.FAILED || report.kind() == Transition.Kind.COMPLETED);
@@ -329,7 +328,7 @@
         }
     }
 
-    private static Workload workload(OwnerRecord owner) {
+    static Workload workload(OwnerRecord owner) {
         return Workload.of(owner.key(), owner.service(), owner.labels(), owner.resources(), owner.placement());
     }
 }
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/task/PollHandler.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/task/PollHandler.java
@@ -1,23 +1,29 @@
 package dev.waxwinghead.scheduling.task;
 
 import dev.waxwinghead.model.id.TaskId;
+import dev.waxwinghead.model.id.WorkerId;
+import dev.waxwinghead.scheduling.health.WorkerHealth;
 import dev.waxwinghead.scheduling.task.PollReport.TaskReport;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Objects;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 
 /** Compares what a worker has with what the table says, and brings the two together. */
 final class PollHandler {
-    private static final long STOP_GRACE_MILLIS = 5_000;
+    private static final long STOP_GRACE_MILLIS = 2_000;
+    private static final long PROOF_NANOS = TimeUnit.SECONDS.toNanos(2);
 
     private final TaskTable table;
     private final Outbox outbox;
     private final Commitments commitments;
     private final SchedulerTimes times;
+    private final WorkerHealth health;
 
-    PollHandler(TaskTable table, Outbox outbox, Commitments commitments, SchedulerTimes times) {
+    PollHandler(TaskTable table, Outbox outbox, Commitments commitments, SchedulerTimes times, WorkerHealth health) {
+        this.health = health;
         this.table = table;
         this.outbox = outbox;
         this.commitments = commitments;
@@ -36,7 +42,7 @@
             if (isLive(report, task)) {
                 listed.add(task.task());
                 entry.listed(task.task());
-                follow(task, commands);
+                follow(report.worker().id(), task, entry, now, commands);
             } else {
                 dismiss(task, commands);
             }
@@ -85,19 +91,50 @@
     }
 
     /** Follows a live attempt that the worker lists. */
-    private void follow(TaskReport reported, List<WorkerCommand> commands) {
+    private void follow(
+            WorkerId worker, TaskReport reported, WorkerEntry entry, long now, List<WorkerCommand> commands) {
         TaskRecord task = table.task(reported.task()).orElseThrow();
-        switch (reported.phase()) {
-            case COMPLETED -> propose(Transition.Kind.COMPLETED, task.id(), reported.attempt(), null);
-            case FAILED -> propose(Transition.Kind.FAILED, task.id(), reported.attempt(), reported.message());
-            case STOPPED -> propose(Transition.Kind.STOPPED, task.id(), reported.attempt(), reported.checkpoint());
-            case STARTING, RUNNING, CHECKPOINTED -> followRunning(task, reported, commands);
+        if (reported.phase().ended()) {
+            if (!outbox.holds(task.id())) {
+                judge(worker, task, reported.phase(), now);
+                propose(outcome(worker, reported), task.id(), reported.attempt(), text(reported));
+            }
+            return;
+        }
+        if (health.restricted(worker) && entry.ranFor(task.id(), now) >= PROOF_NANOS) {
+            health.succeeded(worker, task.owner());
+        }
+        followRunning(task, reported, commands);
+    }
+
+    private void judge(WorkerId worker, TaskRecord task, PollReport.Phase phase, long now) {
+        switch (phase) {
+            case COMPLETED -> health.succeeded(worker, task.owner());
+            case FAILED -> health.failed(worker, task.owner(), now);
+            default -> health.withdrawn(worker);
         }
     }
 
+    /** A failure does not count against the job once its worker is known to fail everything. */
+    private Transition.Kind outcome(WorkerId worker, TaskReport reported) {
+        return switch (reported.phase()) {
+            case COMPLETED -> Transition.Kind.COMPLETED;
+            case FAILED -> health.quarantined(worker) ? Transition.Kind.FAILED_BY_WORKER : Transition.Kind.FAILED;
+            default -> Transition.Kind.STOPPED;
+        };
+    }
+
+    private static String text(TaskReport reported) {
+        return switch (reported.phase()) {
+            case COMPLETED -> null;
+            case FAILED -> reported.message();
+            default -> reported.checkpoint();
+        };
+    }
+
     private void followRunning(TaskRecord task, TaskReport reported, List<WorkerCommand> commands) {
         if (task.state() == TaskState.STOPPING) {
-            commands.add(new WorkerCommand.Stop(task.id(), reported.attempt(), STOP_GRACE_MILLIS));
+            stop(task, reported.attempt(), commands);
         } else if (task.state() == TaskState.STARTING && reported.phase() != PollReport.Phase.STARTING) {
             propose(Transition.Kind.RUNNING, task.id(), reported.attempt(), null);
         }
@@ -106,6 +143,14 @@
         }
     }
 
+    /** Stops an attempt, after a last checkpoint if it is to go on elsewhere. */
+    private static void stop(TaskRecord task, int attempt, List<WorkerCommand> commands) {
+        if (!task.cancelling()) {
+            commands.add(new WorkerCommand.Checkpoint(task.id(), attempt));
+        }
+        commands.add(new WorkerCommand.Stop(task.id(), attempt, STOP_GRACE_MILLIS));
+    }
+
     /** Answers for an attempt that the table does not hold as live on this worker. */
     private static void dismiss(TaskReport reported, List<WorkerCommand> commands) {
         if (reported.phase().ended()) {
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/task/WorkerEntry.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/task/WorkerEntry.java
@@ -4,10 +4,12 @@
 import dev.waxwinghead.scheduling.placement.WorkerDescription;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
 
 /** Holds what a scheduler has heard from one worker in its own term. */
 final class WorkerEntry {
     private final Map<TaskId, Missing> missing = new HashMap<>();
+    private final Map<TaskId, Long> runningSinceNanos = new HashMap<>();
     private WorkerDescription description;
     private long incarnation;
     private long sequence;
@@ -34,6 +36,7 @@
     void update(PollReport report, long now) {
         if (report.incarnation() != incarnation) {
             missing.clear();
+            runningSinceNanos.clear();
             obeys = false;
         }
         description = report.worker();
@@ -104,6 +107,16 @@
         return numbered() || (seen.polls >= Missing.LEAST_POLLS && now - seen.sinceNanos >= windowNanos);
     }
 
+    /** Returns for how long a task has been listed as running, counted from the first call. */
+    long ranFor(TaskId task, long now) {
+        return now - runningSinceNanos.computeIfAbsent(task, key -> now);
+    }
+
+    /** Forgets the tasks that are not held any more. */
+    void retain(Set<TaskId> tasks) {
+        runningSinceNanos.keySet().retainAll(tasks);
+    }
+
     void listed(TaskId task) {
         missing.remove(task);
     }
--- /dev/null
+++ b/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/task/Bench.java
@@ -0,0 +1,199 @@
+package dev.waxwinghead.scheduling.task;
+
+import dev.waxwinghead.model.id.DataCentreId;
+import dev.waxwinghead.model.id.HostId;
+import dev.waxwinghead.model.id.JobName;
+import dev.waxwinghead.model.id.RackId;
+import dev.waxwinghead.model.id.TaskId;
+import dev.waxwinghead.model.id.TeamName;
+import dev.waxwinghead.model.id.WorkerId;
+import dev.waxwinghead.model.label.Labels;
+import dev.waxwinghead.model.manifest.JobManifest;
+import dev.waxwinghead.model.manifest.Manifest;
+import dev.waxwinghead.model.manifest.ManifestKey;
+import dev.waxwinghead.model.manifest.ManifestKind;
+import dev.waxwinghead.model.resource.Resources;
+import dev.waxwinghead.scheduling.placement.HarmModel;
+import dev.waxwinghead.scheduling.placement.WorkerDescription;
+import dev.waxwinghead.scheduling.placement.WorkerScore;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** A scheduler whose proposals are decided at once, with workers that do as they are told. */
+final class Bench {
+    static final long SECOND = 1_000_000_000L;
+
+    final TaskTable table = TaskTable.create();
+    final DataCentreScheduler scheduler;
+    final Map<String, Worker> workers = new TreeMap<>();
+    private final List<TaskId> changed = new ArrayList<>();
+    private long index;
+    private long now;
+
+    Bench() {
+        DataCentreId dataCentre = History.DATA_CENTRE;
+        apply(new TaskCommand.Acquire(dataCentre, HostId.of("e1"), "e1", 0, History.TIMES.longestLeaseMillis()));
+        SchedulerTerm term = table.scheduler(dataCentre).orElseThrow();
+        scheduler =
+                DataCentreScheduler.create(term, table, History.TIMES, WorkerScore.byHarm(HarmModel.NONE), now, now);
+        table.onChange(task -> changed.add(task.id()));
+    }
+
+    static JobManifest job(String name, String team, int tasks, int millicores, boolean urgent) {
+        return new JobManifest(
+                JobName.of(name),
+                TeamName.of(team),
+                null,
+                tasks,
+                Resources.of(millicores, 1, 0),
+                null,
+                null,
+                urgent,
+                null,
+                1_000,
+                null);
+    }
+
+    void apply(TaskCommand command) {
+        table.apply(++index, command);
+    }
+
+    void declare(Manifest... manifests) {
+        long revision = table.configurationRevision() + 1;
+        List<TaskCommand.OwnerChange> changes = new ArrayList<>();
+        for (Manifest manifest : manifests) {
+            changes.add(new TaskCommand.OwnerChange(manifest.key(), revision, manifest));
+        }
+        apply(new TaskCommand.Reconcile(revision - 1, revision, changes));
+        apply(new TaskCommand.Delegate(
+                History.DATA_CENTRE,
+                table.tasks().stream().map(TaskRecord::id).sorted().toList()));
+    }
+
+    Worker worker(String name, long millicores) {
+        return workers.computeIfAbsent(name, key -> new Worker(key, millicores));
+    }
+
+    /** Lets time pass; every worker polls once per step of a tenth of a second. */
+    void pass(double seconds) {
+        for (int i = 0; i < seconds * 10; i++) {
+            now += SECOND / 10;
+            scheduler.renewed(now);
+            for (Worker worker : workers.values()) {
+                worker.poll();
+                decide();
+            }
+            scheduler.tick(now);
+            decide();
+        }
+    }
+
+    long count(String job, TaskState state) {
+        ManifestKey key = ManifestKey.of(ManifestKind.JOB, job);
+        return table.tasks().stream()
+                .filter(task -> task.owner().equals(key) && task.state() == state)
+                .count();
+    }
+
+    private void decide() {
+        for (List<Transition> batch = next(); !batch.isEmpty(); batch = next()) {
+            apply(new TaskCommand.Transitions(History.DATA_CENTRE, scheduler.term(), batch));
+            refresh();
+            scheduler.settle(batch, now);
+        }
+    }
+
+    private List<Transition> next() {
+        refresh();
+        return scheduler.takeTransitions(10_000);
+    }
+
+    private void refresh() {
+        List<TaskId> taken = List.copyOf(changed);
+        changed.clear();
+        taken.forEach(scheduler::refresh);
+    }
+
+    /** A worker that runs each task for a second, or fails at once what it is told to fail. */
+    final class Worker {
+        final Map<TaskId, PollReport.TaskReport> tasks = new LinkedHashMap<>();
+        final List<WorkerCommand.Start> starts = new ArrayList<>();
+        final Map<String, Boolean> failing = new HashMap<>();
+        long millicores;
+        boolean failsAll;
+        boolean endless;
+        private final WorkerId id;
+        private final Map<TaskId, Long> endsAt = new HashMap<>();
+        private long sequence;
+
+        Worker(String name, long millicores) {
+            this.id = WorkerId.of(name);
+            this.millicores = millicores;
+        }
+
+        long running() {
+            return tasks.values().stream()
+                    .filter(task -> task.phase() == PollReport.Phase.RUNNING)
+                    .count();
+        }
+
+        private void poll() {
+            if (!endless) {
+                endsAt.forEach((task, end) -> {
+                    if (now >= end && tasks.get(task).phase() == PollReport.Phase.RUNNING) {
+                        end(task, PollReport.Phase.COMPLETED);
+                    }
+                });
+            }
+            WorkerDescription description = new WorkerDescription(
+                    id, History.DATA_CENTRE, RackId.of("r1"), Resources.of(millicores, 1_000_000, 0), Labels.NONE);
+            PollReport report =
+                    new PollReport(description, 1, ++sequence, scheduler.term(), false, List.copyOf(tasks.values()));
+            scheduler.poll(report, now).commands().forEach(this::obey);
+        }
+
+        private void obey(WorkerCommand command) {
+            if (command instanceof WorkerCommand.Start start && !tasks.containsKey(start.task())) {
+                starts.add(start);
+                String job = start.task().value().split("/", -1)[1];
+                boolean fails = failsAll || failing.getOrDefault(job, false);
+                tasks.put(
+                        start.task(),
+                        new PollReport.TaskReport(
+                                start.task(),
+                                start.attempt(),
+                                PollReport.Phase.RUNNING,
+                                null,
+                                "c" + start.attempt(),
+                                null));
+                endsAt.put(start.task(), now + SECOND);
+                if (fails) {
+                    end(start.task(), PollReport.Phase.FAILED);
+                }
+            } else if (command instanceof WorkerCommand.Stop stop && tasks.containsKey(stop.task())) {
+                end(stop.task(), PollReport.Phase.STOPPED);
+            } else if (command instanceof WorkerCommand.Acknowledge acknowledge) {
+                tasks.remove(acknowledge.task());
+                endsAt.remove(acknowledge.task());
+            }
+        }
+
+        private void end(TaskId task, PollReport.Phase phase) {
+            tasks.computeIfPresent(
+                    task,
+                    (id, was) -> was.phase().ended()
+                            ? was
+                            : new PollReport.TaskReport(
+                                    id,
+                                    was.attempt(),
+                                    phase,
+                                    null,
+                                    was.checkpoint(),
+                                    phase == PollReport.Phase.FAILED ? "broken" : null));
+        }
+    }
+}
