--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/callers/CallersPart.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/callers/CallersPart.java
@@ -1,10 +1,12 @@
 package dev.waxwinghead.daemon.callers;
 
 import com.sun.net.httpserver.HttpExchange;
+import dev.waxwinghead.daemon.claims.ClaimsPart;
 import dev.waxwinghead.daemon.configuration.Configuration;
 import dev.waxwinghead.daemon.http.JsonExchange;
 import dev.waxwinghead.daemon.part.DaemonContext;
 import dev.waxwinghead.daemon.part.DaemonPart;
+import dev.waxwinghead.daemon.shares.SharesPart;
 import dev.waxwinghead.daemon.state.StateSection;
 import dev.waxwinghead.daemon.upstreams.UpstreamsPart;
 import dev.waxwinghead.model.lifecycle.Closer;
@@ -34,22 +36,28 @@
     private static final int SAVED_RESENDS = 10;
 
     private final UpstreamsPart upstreams;
+    private final ClaimsPart claims;
+    private final SharesPart shares;
     private final Closer closer = Closer.create();
     private volatile CallerHandler handler;
     private volatile CallDispatcher dispatcher;
 
-    private CallersPart(UpstreamsPart upstreams) {
+    private CallersPart(UpstreamsPart upstreams, SharesPart shares, ClaimsPart claims) {
         this.upstreams = upstreams;
+        this.shares = shares;
+        this.claims = claims;
     }
 
     /**
      * Returns the part, not started yet.
      *
      * @param upstreams the registry's part, started before this one
+     * @param shares the shares' part, started before this one
+     * @param claims the claims' part, started before this one
      * @return the part, never null
      */
-    public static CallersPart create(UpstreamsPart upstreams) {
-        return new CallersPart(upstreams);
+    public static CallersPart create(UpstreamsPart upstreams, SharesPart shares, ClaimsPart claims) {
+        return new CallersPart(upstreams, shares, claims);
     }
 
     @Override
@@ -69,7 +77,7 @@
         UpstreamClients clients = UpstreamClients.create(context.ticker(), executor);
         UpstreamTable table = UpstreamTable.create(
                 upstreams.registry(),
-                SlotLimits.unshared(),
+                shares,
                 UpstreamChooser.create(context.dataCentre(), new SplittableRandom()),
                 context.ticker());
         upstreams.inFlightFrom(table::inFlight);
@@ -85,8 +93,9 @@
                 context.ticker(),
                 meters,
                 handler);
-        handler.dispatchWith(dispatcher);
+        handler.dispatchWith(dispatcher, KeyedCalls.create(claims.store(), context.ticker(), executor, handler));
         upstreams.registry().onChange(() -> context.pool().execute(dispatcher::drainQueues));
+        shares.onGain(() -> context.pool().execute(dispatcher::drainQueues));
         route(context);
         every(context, QUEUE_TICK_MILLIS, () -> context.pool().execute(this::tendQueues));
         every(context, CLEAN_TICK_MILLIS, () -> {
--- a/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/callers/TestHost.java
+++ b/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/callers/TestHost.java
@@ -1,12 +1,14 @@
 package dev.waxwinghead.daemon.callers;
 
 import dev.waxwinghead.coordination.peer.PeerAddress;
+import dev.waxwinghead.daemon.claims.ClaimsPart;
 import dev.waxwinghead.daemon.configuration.Configuration;
 import dev.waxwinghead.daemon.configuration.ConfigurationView;
 import dev.waxwinghead.daemon.http.HttpListener;
 import dev.waxwinghead.daemon.part.DaemonContext;
 import dev.waxwinghead.daemon.part.DaemonPart;
 import dev.waxwinghead.daemon.settings.DaemonSettings;
+import dev.waxwinghead.daemon.shares.SharesPart;
 import dev.waxwinghead.daemon.state.SectionedStateMachine;
 import dev.waxwinghead.daemon.state.StateSection;
 import dev.waxwinghead.daemon.upstreams.UpstreamsPart;
@@ -42,7 +44,9 @@
     private final TestCluster.TestPeers peers;
     private final TestCluster.TestSharedState state;
     private final UpstreamsPart upstreams = UpstreamsPart.create();
-    private final CallersPart callers = CallersPart.create(upstreams);
+    private final SharesPart shares = SharesPart.create(upstreams);
+    private final ClaimsPart claims = ClaimsPart.create();
+    private final CallersPart callers = CallersPart.create(upstreams, shares, claims);
     private final MeterRegistry meters = new SimpleMeterRegistry();
     private final HttpListener callerHttp;
     private final HttpListener workerHttp;
@@ -53,7 +57,7 @@
         this.id = id;
         this.dataCentre = dataCentre;
         this.peers = cluster.peersOf(id);
-        List<DaemonPart> parts = List.of(upstreams, callers);
+        List<DaemonPart> parts = List.of(upstreams, shares, claims, callers);
         List<StateSection> sections =
                 parts.stream().flatMap(part -> part.sections().stream()).toList();
         this.state = cluster.new TestSharedState(SectionedStateMachine.of(sections));
@@ -65,7 +69,7 @@
         workerHttp = closer.register(HttpListener.open(anyPort(), pool));
         operatorHttp = closer.register(HttpListener.open(anyPort(), pool));
         DaemonContext context = new DaemonContext(
-                settings(),
+                settings(cluster.declared()),
                 Ticker.system(),
                 state,
                 fixed(manifests),
@@ -148,7 +152,7 @@
         }
     }
 
-    private DaemonSettings settings() {
+    private DaemonSettings settings(List<PeerAddress> declared) {
         InetSocketAddress none = anyPort();
         return new DaemonSettings(
                 "test",
@@ -158,7 +162,7 @@
                 none,
                 none,
                 none,
-                List.of(new PeerAddress(id, dataCentre, none)),
+                declared,
                 List.of(id),
                 Optional.empty(),
                 Duration.ofSeconds(10),
