--- /dev/null
+++ b/waxwinghead-testkit/src/main/java/dev/waxwinghead/testkit/load/FeedRun.java
@@ -0,0 +1,115 @@
+package dev.waxwinghead.testkit.load;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.http.HttpClient;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import java.util.concurrent.atomic.AtomicLong;
+import org.HdrHistogram.ConcurrentHistogram;
+import org.HdrHistogram.Histogram;
+
+/**
+ * Holds feeds open for the time of a plan, one thread each, and opens a feed again that has ended.
+ *
+ * <p>A feed counts as answered if its first event came; the latency is the time until then.
+ */
+final class FeedRun {
+    private static final String EVENT_START = "data:";
+    private static final long MAX_MICROS = 3_600_000_000L;
+    private static final Duration REOPEN_PAUSE = Duration.ofMillis(200);
+    private static final Duration CLOSE_BOUND = Duration.ofSeconds(5);
+
+    private final LoadPlan plan;
+    private final HttpClient client;
+    private final Histogram micros = new ConcurrentHistogram(MAX_MICROS, 3);
+    private final SortedMap<String, Long> outcomes = new TreeMap<>();
+    private final AtomicLong requests = new AtomicLong();
+    private volatile boolean over;
+
+    private FeedRun(LoadPlan plan) {
+        this.plan = plan;
+        this.client =
+                HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+    }
+
+    static LoadSummary of(LoadPlan plan) throws InterruptedException {
+        return new FeedRun(plan).run();
+    }
+
+    private LoadSummary run() throws InterruptedException {
+        List<Thread> feeds = new ArrayList<>();
+        for (int i = 0; i < plan.concurrency(); i++) {
+            Thread feed = new Thread(this::follow, "feed-" + i);
+            feed.setDaemon(true);
+            feed.start();
+            feeds.add(feed);
+        }
+        Thread.sleep(plan.duration().toMillis());
+        over = true;
+        for (Thread feed : feeds) {
+            feed.join(CLOSE_BOUND.toMillis());
+        }
+        double seconds = plan.duration().toMillis() / 1_000.0;
+        synchronized (outcomes) {
+            long answered = outcomes.getOrDefault(AnswerCheck.ANSWERED, 0L);
+            return new LoadSummary(
+                    requests.get(),
+                    seconds,
+                    answered / seconds,
+                    new TreeMap<>(outcomes),
+                    0,
+                    LoadSummary.Latency.from(micros));
+        }
+    }
+
+    private void follow() {
+        while (!over) {
+            String outcome = open(requests.getAndIncrement());
+            synchronized (outcomes) {
+                outcomes.merge(outcome, 1L, Long::sum);
+            }
+            if (!outcome.equals(AnswerCheck.ANSWERED)) {
+                pause();
+            }
+        }
+    }
+
+    private static void pause() {
+        try {
+            Thread.sleep(REOPEN_PAUSE.toMillis());
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private String open(long number) {
+        long startNanos = System.nanoTime();
+        boolean first = true;
+        try {
+            HttpResponse<java.io.InputStream> answer =
+                    client.send(LoadRequest.of(plan, number).to(0), HttpResponse.BodyHandlers.ofInputStream());
+            try (BufferedReader lines =
+                    new BufferedReader(new InputStreamReader(answer.body(), StandardCharsets.UTF_8))) {
+                for (String line = lines.readLine(); line != null && !over; line = lines.readLine()) {
+                    if (first && line.startsWith(EVENT_START)) {
+                        micros.recordValue(Math.min(MAX_MICROS, (System.nanoTime() - startNanos) / 1_000));
+                        first = false;
+                    }
+                }
+            }
+            return first ? "refused-" + answer.statusCode() : AnswerCheck.ANSWERED;
+        } catch (IOException e) {
+            return first ? AnswerCheck.outcome(e) : AnswerCheck.BROKEN;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return AnswerCheck.BROKEN;
+        }
+    }
+}
--- a/waxwinghead-testkit/src/main/java/dev/waxwinghead/testkit/load/LoadCommand.java
+++ b/waxwinghead-testkit/src/main/java/dev/waxwinghead/testkit/load/LoadCommand.java
@@ -21,6 +21,8 @@
  */
 @Command(name = "load", description = "Sends requests to entry hosts and prints a JSON summary")
 public final class LoadCommand implements Callable<Integer> {
+    private static final String FEED = "feed";
+
     @AirlineModule
     HelpOption<LoadCommand> help;
 
@@ -47,7 +49,7 @@
     @Option(name = "--class", description = "traffic class (default none)")
     String trafficClass;
 
-    @Option(name = "--kind", description = "idempotent, keyed or feed (default none)")
+    @Option(name = "--kind", description = "idempotent, keyed or feed; feeds are held open (default none)")
     String kind;
 
     @Option(name = "--key-prefix", description = "start of the idempotency keys; the number follows (default none)")
@@ -73,7 +75,8 @@
         if (help.showHelpIfRequested()) {
             return 0;
         }
-        LoadSummary summary = LoadRun.of(plan());
+        LoadPlan plan = plan();
+        LoadSummary summary = FEED.equals(kind) ? FeedRun.of(plan) : LoadRun.of(plan);
         System.out.println(
                 Manifests.jsonMapper().writerWithDefaultPrettyPrinter().writeValueAsString(summary));
         return requireAll && !summary.allAnswered() ? 1 : 0;
--- a/waxwinghead-testkit/src/test/java/dev/waxwinghead/testkit/load/LoadRunTests.java
+++ b/waxwinghead-testkit/src/test/java/dev/waxwinghead/testkit/load/LoadRunTests.java
@@ -38,7 +38,11 @@
     }
 
     private static LoadSummary run(double rate, String... hosts) throws InterruptedException {
-        return LoadRun.of(new LoadPlan(
+        return LoadRun.of(plan(rate, hosts));
+    }
+
+    private static LoadPlan plan(double rate, String... hosts) {
+        return new LoadPlan(
                 List.of(hosts),
                 "quotes",
                 "/echo?n={n}",
@@ -51,7 +55,17 @@
                 Duration.ofSeconds(5),
                 rate,
                 4,
-                Duration.ofMillis(300)));
+                Duration.ofMillis(300));
+    }
+
+    @Test
+    void opensAFeedAgainThatHasEnded() throws Exception {
+        String host = serve(exchange -> answer(exchange, "answered", "id: 0\ndata: 0\n\n"));
+
+        LoadSummary summary = FeedRun.of(plan(0, host));
+
+        assertThat(summary.outcomes().keySet()).containsExactly("answered");
+        assertThat(summary.requests()).isGreaterThan(4);
     }
 
     @Test
