--- a/waxwinghead-testkit/src/main/java/dev/waxwinghead/testkit/load/FeedRun.java
+++ b/waxwinghead-testkit/src/main/java/dev/waxwinghead/testkit/load/FeedRun.java
@@ -21,6 +21,9 @@
  * <p>A feed counts as answered if its first event came; the latency is the time until then.
  */
 final class FeedRun {
+    /** The time was over before the first event; the feed does not count. */
+    private static final String UNFINISHED = "unfinished";
+
     private static final String EVENT_START = "data:";
     private static final long MAX_MICROS = 3_600_000_000L;
     private static final Duration REOPEN_PAUSE = Duration.ofMillis(200);
@@ -72,6 +75,10 @@
     private void follow() {
         while (!over) {
             String outcome = open(requests.getAndIncrement());
+            if (outcome.equals(UNFINISHED)) {
+                requests.decrementAndGet();
+                return;
+            }
             synchronized (outcomes) {
                 outcomes.merge(outcome, 1L, Long::sum);
             }
@@ -104,7 +111,10 @@
                     }
                 }
             }
-            return first ? "refused-" + answer.statusCode() : AnswerCheck.ANSWERED;
+            if (!first) {
+                return AnswerCheck.ANSWERED;
+            }
+            return over && answer.statusCode() == 200 ? UNFINISHED : "refused-" + answer.statusCode();
         } catch (IOException e) {
             return first ? AnswerCheck.outcome(e) : AnswerCheck.BROKEN;
         } catch (InterruptedException e) {
