--- a/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/replica/ReplicaLoop.java
+++ b/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/replica/ReplicaLoop.java
@@ -81,9 +81,10 @@
     void start() {
         storage.recovered().snapshot().ifPresent(applier::restore);
         network.onMessage(PeerChannel.CONSENSUS, this::receive);
+        LogClientServer server =
+                new LogClientServer(settings, storage.replicaId(), core, requests, counters, this, ticker);
         network.onCall(
-                PeerChannel.LOG_CLIENT,
-                new LogClientServer(settings, storage.replicaId(), core, requests, counters, this, ticker));
+                PeerChannel.LOG_CLIENT, (from, request) -> terminated ? refused() : server.answer(from, request));
         thread.start();
     }
 
@@ -245,6 +246,11 @@
         }
     }
 
+    private CompletableFuture<byte[]> refused() {
+        return CompletableFuture.failedFuture(
+                WaxwingheadException.of(ErrorKind.UNAVAILABLE, stopReason(), "ask another entry host"));
+    }
+
     private String stopReason() {
         WaxwingheadException cause = failure.getNow(null);
         return cause == null ? "this replica is closed" : "this replica has stopped: " + cause.getMessage();
--- a/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/replica/Requests.java
+++ b/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/replica/Requests.java
@@ -8,6 +8,7 @@
 import dev.waxwinghead.model.error.ErrorKind;
 import dev.waxwinghead.model.error.WaxwingheadException;
 import dev.waxwinghead.model.id.HostId;
+import dev.waxwinghead.model.time.Deadline;
 import dev.waxwinghead.model.time.Ticker;
 import java.time.Duration;
 import java.util.ArrayDeque;
@@ -156,11 +157,13 @@
 
     private void passOn(Request request, HostId leader) {
         request.mayHaveEffect = true;
-        long remainingMillis = request.deadline.remaining(ticker).toMillis();
+        Deadline deadline = request.kind.changesState()
+                ? request.deadline
+                : request.deadline.earlier(Deadline.after(settings.consensus().electionTimeoutMax(), ticker));
         link.call(
                 leader,
-                request.kind.message(remainingMillis),
-                request.deadline,
+                request.kind.message(deadline.remaining(ticker).toMillis()),
+                deadline,
                 (answer, failure) -> answered(request, answer, failure));
     }
 
--- a/waxwinghead-coordination/src/test/java/dev/waxwinghead/coordination/replica/Cluster.java
+++ b/waxwinghead-coordination/src/test/java/dev/waxwinghead/coordination/replica/Cluster.java
@@ -1,5 +1,6 @@
 package dev.waxwinghead.coordination.replica;
 
+import dev.waxwinghead.coordination.consensus.ConsensusSettings;
 import dev.waxwinghead.coordination.log.StateMachine;
 import dev.waxwinghead.coordination.memory.MemoryStorage;
 import dev.waxwinghead.coordination.peer.PeerNetwork;
@@ -46,24 +47,37 @@
         return start(host, MemoryStorage.create());
     }
 
-    Host restart(HostId host) {
-        Host old = stop(host);
-        return start(host, ((MemoryStorage) old.storage()).reopenedAfterCrash());
-    }
-
     Host start(HostId id, ReplicaStorage storage) {
         PeerNetwork port = network.open(id);
         Texts texts = new Texts();
-        ReplicaSettings settings = ReplicaSettings.of(id, "127.0.0.1:1", voters).withSnapshotInterval(snapshotInterval);
-        ReplicaNode node = ReplicaNode.start(settings, texts, storage, port, Ticker.system());
-        Host host = new Host(id, node, texts, storage, port);
+        ReplicaSettings settings = ReplicaSettings.of(id, "127.0.0.1:1", voters)
+                .withSnapshotInterval(snapshotInterval)
+                .withConsensus(consensus());
+        FaultyStorage faults = new FaultyStorage(storage);
+        ReplicaNode node = ReplicaNode.start(settings, texts, faults, port, Ticker.system());
+        Host host = new Host(id, node, texts, storage, faults, port);
         hosts.put(id, host);
         return host;
     }
 
+    /** Returns the usual timing, with small batches and parts and few entries kept, so that snapshots are needed. */
+    private static ConsensusSettings consensus() {
+        ConsensusSettings usual = ConsensusSettings.defaults();
+        return new ConsensusSettings(
+                usual.heartbeatInterval(),
+                usual.electionTimeoutMin(),
+                usual.electionTimeoutMax(),
+                1024,
+                4,
+                512,
+                16,
+                64);
+    }
+
     Host stop(HostId id) {
         Host host = hosts.remove(id);
         host.port().close();
+        host.faults().releaseSyncs();
         host.node().close();
         return host;
     }
@@ -72,6 +86,10 @@
         return hosts.get(HostId.of("e" + number));
     }
 
+    Host host(HostId id) {
+        return hosts.get(id);
+    }
+
     List<Host> hosts() {
         return List.copyOf(hosts.values());
     }
@@ -108,7 +126,8 @@
     }
 
     /** One host and what runs on it. */
-    record Host(HostId id, ReplicaNode node, Texts texts, ReplicaStorage storage, PeerNetwork port) {
+    record Host(
+            HostId id, ReplicaNode node, Texts texts, ReplicaStorage storage, FaultyStorage faults, PeerNetwork port) {
         CompletableFuture<byte[]> propose(String text) {
             return propose(text, PATIENCE);
         }
@@ -128,6 +147,9 @@
 
     /** Collects the texts that were applied. Its result is how many there are. */
     static final class Texts implements StateMachine {
+        /** A text that can't be applied. */
+        static final String BROKEN = "broken";
+
         private List<String> texts = new ArrayList<>();
 
         synchronized List<String> all() {
@@ -136,7 +158,11 @@
 
         @Override
         public synchronized byte[] apply(long index, byte[] command) {
-            texts.add(new String(command, StandardCharsets.UTF_8));
+            String text = new String(command, StandardCharsets.UTF_8);
+            if (text.equals(BROKEN)) {
+                throw new IllegalStateException(text);
+            }
+            texts.add(text);
             return Integer.toString(texts.size()).getBytes(StandardCharsets.UTF_8);
         }
 
--- /dev/null
+++ b/waxwinghead-coordination/src/test/java/dev/waxwinghead/coordination/replica/FaultyStorage.java
@@ -0,0 +1,82 @@
+package dev.waxwinghead.coordination.replica;
+
+import dev.waxwinghead.coordination.storage.HardState;
+import dev.waxwinghead.coordination.storage.LogEntry;
+import dev.waxwinghead.coordination.storage.ReplicaStorage;
+import dev.waxwinghead.coordination.storage.Snapshot;
+import dev.waxwinghead.model.error.ErrorKind;
+import dev.waxwinghead.model.error.WaxwingheadException;
+import dev.waxwinghead.model.id.ReplicaId;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+
+/** Passes everything on to a storage, but can hold its syncs up or fail them. */
+final class FaultyStorage implements ReplicaStorage {
+    private final ReplicaStorage storage;
+    private volatile CountDownLatch gate = new CountDownLatch(0);
+    private volatile boolean failing;
+
+    FaultyStorage(ReplicaStorage storage) {
+        this.storage = storage;
+    }
+
+    void holdSyncs() {
+        gate = new CountDownLatch(1);
+    }
+
+    void releaseSyncs() {
+        gate.countDown();
+    }
+
+    void failSyncs() {
+        failing = true;
+    }
+
+    @Override
+    public ReplicaId replicaId() {
+        return storage.replicaId();
+    }
+
+    @Override
+    public boolean createdNow() {
+        return storage.createdNow();
+    }
+
+    @Override
+    public Recovered recovered() {
+        return storage.recovered();
+    }
+
+    @Override
+    public void writeHardState(HardState state) {
+        storage.writeHardState(state);
+    }
+
+    @Override
+    public void append(List<LogEntry> entries) {
+        storage.append(entries);
+    }
+
+    @Override
+    public void sync() {
+        try {
+            gate.await();
+        } catch (InterruptedException e) {
+            throw new AssertionError(e);
+        }
+        if (failing) {
+            throw WaxwingheadException.of(ErrorKind.STORAGE, "sync of segment-1 failed", "replace the disk");
+        }
+        storage.sync();
+    }
+
+    @Override
+    public void writeSnapshot(Snapshot snapshot) {
+        storage.writeSnapshot(snapshot);
+    }
+
+    @Override
+    public void close() {
+        storage.close();
+    }
+}
