--- a/waxwinghead-coordination/src/test/java/dev/waxwinghead/coordination/consensus/ModelCluster.java
+++ b/waxwinghead-coordination/src/test/java/dev/waxwinghead/coordination/consensus/ModelCluster.java
@@ -53,7 +53,6 @@
         List<Member> first =
                 nodes.stream().filter(n -> n.wantsVote).map(ModelNode::wanted).toList();
         nodes.get(0).core.form(7, first);
-        settle(nodes.get(0));
     }
 
     void play(int steps) {
@@ -218,7 +217,11 @@
         }
     }
 
+    /** Carries out what the node has to do, or leaves it for the next event to share its sync. */
     private void settle(ModelNode node) {
+        if (random.nextInt(4) == 0) {
+            return;
+        }
         Ready ready = node.core.ready();
         while (!ready.isEmpty()) {
             int diesAt = ready.writes() && random.nextInt(120) == 0 ? 1 + random.nextInt(3) : 0;
--- /dev/null
+++ b/waxwinghead-coordination/src/test/java/dev/waxwinghead/coordination/consensus/ReplicaCoreTests.java
@@ -0,0 +1,124 @@
+package dev.waxwinghead.coordination.consensus;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import dev.waxwinghead.coordination.consensus.Message.Header;
+import dev.waxwinghead.coordination.consensus.Message.VoteRequest;
+import dev.waxwinghead.coordination.log.LogStatus.Member;
+import dev.waxwinghead.coordination.log.LogStatus.Role;
+import dev.waxwinghead.coordination.memory.MemoryStorage;
+import dev.waxwinghead.model.id.HostId;
+import dev.waxwinghead.model.id.ReplicaId;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.OptionalLong;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+
+class ReplicaCoreTests {
+    private static final ConsensusSettings SETTINGS = ConsensusSettings.defaults();
+    private static final HostId E1 = HostId.of("e1");
+    private static final ReplicaId R1 = ReplicaId.of("r1");
+    private static final ReplicaId R2 = ReplicaId.of("r2");
+    private static final List<Member> MEMBERS =
+            List.of(new Member(E1, R1, "a:1", true), new Member(HostId.of("e2"), R2, "a:2", true));
+
+    private final ReplicaCore first = core(R1);
+    private final ReplicaCore second = core(R2);
+    private long now;
+
+    @Test
+    void isolatedVoterNeverRaisesItsTerm() {
+        first.form(7, MEMBERS);
+        for (int i = 0; i < 100; i++) {
+            pass(SETTINGS.electionTimeoutMax());
+            settle(first);
+        }
+        assertThat(first.term()).isEqualTo(1);
+        assertThat(first.role()).isEqualTo(Role.CANDIDATE);
+    }
+
+    @Test
+    void leaderWithoutAMajorityStepsDownBeforeItTakesAProposal() {
+        elect();
+        pass(SETTINGS.electionTimeoutMin());
+        assertThat(first.isLeader()).isFalse();
+        assertThat(first.propose(new byte[1])).isEqualTo(OptionalLong.empty());
+    }
+
+    @Test
+    void followerOfALiveLeaderRefusesVotesAndKeepsItsTerm() {
+        elect();
+        long term = second.term();
+        VoteRequest request = new VoteRequest(new Header(7, ReplicaId.of("r3"), R2, term + 5), false, 99, term);
+        second.receive(HostId.of("e3"), request);
+        assertThat(second.term()).isEqualTo(term);
+    }
+
+    @Test
+    void messageForAnEarlierReplicaOfTheHostIsDropped() {
+        VoteRequest request = new VoteRequest(new Header(7, R1, ReplicaId.of("r0"), 9), false, 9, 9);
+        assertThat(second.receive(E1, request)).isFalse();
+        assertThat(second.term()).isEqualTo(0);
+    }
+
+    @Test
+    void messageOfAnotherGroupIsDropped() {
+        elect();
+        VoteRequest request = new VoteRequest(new Header(8, R1, R2, 9), false, 99, 9);
+        assertThat(second.receive(E1, request)).isFalse();
+    }
+
+    @Property(tries = 2000)
+    void bytesOfAnyKindAreDecodedOrRefusedAsMalformed(@ForAll byte[] bytes) {
+        try {
+            assertThat(MessageCodec.decode(bytes)).isNotNull();
+        } catch (MalformedMessageException e) {
+            assertThat(e).hasMessageThat().isNotEmpty();
+        }
+    }
+
+    @Test
+    void statedLengthPastTheMessageIsRefused() {
+        byte[] bytes = MessageCodec.encode(new VoteRequest(new Header(7, R1, R2, 9), false, 9, 9));
+        bytes[2] = (byte) 0xdb;
+        assertThrows(MalformedMessageException.class, () -> MessageCodec.decode(bytes));
+    }
+
+    private void elect() {
+        first.form(7, MEMBERS);
+        now++;
+        first.tick(now);
+        for (int i = 0; i < 10; i++) {
+            settle(first).forEach(outbound -> second.receive(E1, outbound.message()));
+            settle(second).forEach(outbound -> first.receive(HostId.of("e2"), outbound.message()));
+        }
+        assertThat(first.isLeader()).isTrue();
+        assertThat(second.role()).isEqualTo(Role.FOLLOWER);
+    }
+
+    private void pass(Duration time) {
+        now += time.toNanos();
+        first.tick(now);
+        second.tick(now);
+    }
+
+    private static List<Ready.Outbound> settle(ReplicaCore core) {
+        List<Ready.Outbound> sent = new ArrayList<>();
+        for (Ready ready = core.ready(); !ready.isEmpty(); ready = core.ready()) {
+            core.persisted();
+            sent.addAll(ready.immediate());
+            sent.addAll(ready.afterSync());
+        }
+        return sent;
+    }
+
+    private static ReplicaCore core(ReplicaId replica) {
+        return ReplicaCore.create(
+                SETTINGS, replica, MemoryStorage.create(replica).recovered(), new Random(1), 0);
+    }
+}
