Place by learned interference, hold back what would slow services down, measure the policy

Cause: placement by declared size alone puts noisy tasks beside the services they harm. Late measurements are matched with what ran when they were taken; a diagonal Kalman filter per pair of service and batch class gives rise and doubt. Batch waits up to 5 minutes for a worker whose services stay below their limit; then throttle, checkpoint, evict. A try to take all lent quota back at once evicted every borrower (lendsFreeQuotaAndTakesItBack: 0 where 5 were due); it is taken back one task at a time, and owners within their quota go before borrowers. Proof: DataCentreSchedulerTests 8, TasksPartTests 6, PolicyRunTests 2 pass.

--- /dev/null
+++ b/waxwinghead-benchmarks/src/main/java/dev/waxwinghead/benchmarks/tasks/Policy.java
@@ -0,0 +1,43 @@
+package dev.waxwinghead.benchmarks.tasks;
+
+import dev.waxwinghead.scheduling.placement.HarmModel;
+import dev.waxwinghead.scheduling.placement.WorkerScore;
+import dev.waxwinghead.scheduling.placement.Workload;
+import dev.waxwinghead.scheduling.task.Learning;
+
+/** Lists the ways to choose a worker. Only the first knows what harms which service. */
+enum Policy {
+    /** By learned interference and sizes. */
+    LEARNED,
+    /** By learned sizes, without the interference model. */
+    WITHOUT_INTERFERENCE,
+    /** The first worker that fits by declared size. */
+    FIRST_FIT,
+    /** The worker with the least left over by declared size. */
+    BEST_FIT;
+
+    Learning learning() {
+        return this == LEARNED ? Learning.create() : Learning.withoutInterference();
+    }
+
+    WorkerScore score(Learning learning) {
+        return switch (this) {
+            case LEARNED -> WorkerScore.byHarm(learning);
+            case WITHOUT_INTERFERENCE -> WorkerScore.byHarm(new SizesOnly(learning));
+            case FIRST_FIT -> WorkerScore.firstFit();
+            case BEST_FIT -> WorkerScore.bestFit();
+        };
+    }
+
+    private record SizesOnly(Learning learning) implements HarmModel {
+        @Override
+        public double expectedMillicores(Workload workload) {
+            return learning.expectedMillicores(workload);
+        }
+
+        @Override
+        public double overload(double load) {
+            return learning.overload(load);
+        }
+    }
+}
--- /dev/null
+++ b/waxwinghead-benchmarks/src/main/java/dev/waxwinghead/benchmarks/tasks/PolicyWorker.java
@@ -0,0 +1,208 @@
+package dev.waxwinghead.benchmarks.tasks;
+
+import dev.waxwinghead.model.id.DataCentreId;
+import dev.waxwinghead.model.id.RackId;
+import dev.waxwinghead.model.id.TaskId;
+import dev.waxwinghead.model.id.WorkerId;
+import dev.waxwinghead.model.label.Labels;
+import dev.waxwinghead.scheduling.placement.WorkerDescription;
+import dev.waxwinghead.scheduling.task.PollReport;
+import dev.waxwinghead.scheduling.task.WorkerCommand;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+
+/** A worker in virtual time: its batch tasks progress, its services' latency follows what runs beside them. */
+final class PolicyWorker {
+    private static final double BASE_RATIO = 0.5;
+    private static final double NOISE = 0.03;
+    private static final double SERVICE_USE = 0.6;
+
+    final Map<TaskId, Running> tasks = new LinkedHashMap<>();
+    final WorkerDescription description;
+    private final Fleet fleet;
+    private final Scenario scenario;
+    private final Workloads workloads;
+    private final Random random;
+    long incarnation = 1;
+    long sequence;
+    long term;
+    double lostUntil = -1;
+    double doneCoreSeconds;
+
+    PolicyWorker(int number, Fleet fleet, Scenario scenario, Workloads workloads, Random random) {
+        this.fleet = fleet;
+        this.scenario = scenario;
+        this.workloads = workloads;
+        this.random = random;
+        this.description = new WorkerDescription(
+                WorkerId.of("w" + number),
+                DataCentreId.of("dc1"),
+                RackId.of("r" + number / fleet.perRack()),
+                fleet.capacity(),
+                Labels.NONE);
+    }
+
+    void lose(double until) {
+        lostUntil = until;
+        tasks.clear();
+        incarnation++;
+        sequence = 0;
+        term = 0;
+    }
+
+    /** Lets a second pass, and returns the true latency of each service's task. */
+    List<Double> pass(double now) {
+        double load = load();
+        double slowdown = Math.max(1, load);
+        List<Double> latencies = new ArrayList<>();
+        for (Running task : tasks.values()) {
+            if (!task.running()) {
+                continue;
+            }
+            if (task.service >= 0) {
+                task.measure(now, latency(task.service, load, now));
+                latencies.add(task.latest());
+            } else {
+                double progress = (task.throttled ? 0.5 : 1) / slowdown;
+                task.progress(progress);
+                doneCoreSeconds += progress * workloads.trueMillicores(task.batchClass) / 1_000;
+            }
+        }
+        return latencies;
+    }
+
+    PollReport report(double now) {
+        List<PollReport.TaskReport> reports = new ArrayList<>();
+        tasks.forEach((id, task) -> reports.add(task.report(id, now, scenario.measurementDelaySeconds(), workloads)));
+        return new PollReport(description, incarnation, ++sequence, term, false, reports);
+    }
+
+    void obey(WorkerCommand command) {
+        if (command instanceof WorkerCommand.Start start && !tasks.containsKey(start.task())) {
+            tasks.put(start.task(), Running.of(start, random));
+        } else if (command instanceof WorkerCommand.Stop stop && tasks.containsKey(stop.task())) {
+            tasks.get(stop.task()).stop();
+        } else if (command instanceof WorkerCommand.Throttle throttle && tasks.containsKey(throttle.task())) {
+            tasks.get(throttle.task()).throttle(throttle.millicores());
+        } else if (command instanceof WorkerCommand.Acknowledge acknowledge) {
+            tasks.remove(acknowledge.task());
+        }
+    }
+
+    private double load() {
+        double used = 0;
+        for (Running task : tasks.values()) {
+            if (task.running()) {
+                used += task.service >= 0
+                        ? SERVICE_USE * fleet.capacity().millicores() / 4
+                        : workloads.trueMillicores(task.batchClass) * (task.throttled ? 0.5 : 1);
+            }
+        }
+        return used / fleet.capacity().millicores();
+    }
+
+    private double latency(int service, double load, double now) {
+        double ratio = BASE_RATIO * scenario.load(now);
+        for (Running task : tasks.values()) {
+            if (task.running() && task.service < 0) {
+                ratio += workloads.rise(service, task.batchClass) * (task.throttled ? 0.5 : 1);
+            }
+        }
+        double overload = Math.max(0, load - 0.95) * 2;
+        return (ratio + overload) * (1 + NOISE * random.nextGaussian());
+    }
+
+    /** One task on a worker. */
+    static final class Running {
+        private static final double DECLARED_SHARE = 0.99;
+
+        final int service;
+        final int batchClass;
+        boolean throttled;
+        private final int attempt;
+        private final long declared;
+        private final Deque<double[]> measurements = new ArrayDeque<>();
+        private double left;
+        private PollReport.Phase phase = PollReport.Phase.RUNNING;
+        private String checkpoint;
+
+        private Running(int service, int batchClass, int attempt, long declared, double left) {
+            this.service = service;
+            this.batchClass = batchClass;
+            this.attempt = attempt;
+            this.declared = declared;
+            this.left = left;
+        }
+
+        static Running of(WorkerCommand.Start start, Random random) {
+            if (start.service() != null) {
+                return new Running(
+                        Workloads.serviceOf(start.task().value()),
+                        -1,
+                        start.attempt(),
+                        start.resources().millicores(),
+                        Double.MAX_VALUE);
+            }
+            String name = start.task().value();
+            int batchClass = Character.digit(name.charAt(name.indexOf("-c") + 2), 10);
+            double left =
+                    start.checkpoint() == null ? 60 + random.nextInt(540) : Double.parseDouble(start.checkpoint());
+            return new Running(
+                    -1, batchClass, start.attempt(), start.resources().millicores(), left);
+        }
+
+        boolean running() {
+            return phase == PollReport.Phase.RUNNING;
+        }
+
+        void progress(double seconds) {
+            left -= seconds;
+            if (left <= 0) {
+                phase = PollReport.Phase.COMPLETED;
+            }
+        }
+
+        void stop() {
+            if (running()) {
+                checkpoint = Double.toString(Math.max(1, left));
+                phase = PollReport.Phase.STOPPED;
+            }
+        }
+
+        void throttle(long millicores) {
+            throttled = millicores < DECLARED_SHARE * declared;
+        }
+
+        void measure(double now, double ratio) {
+            measurements.addLast(new double[] {now, ratio});
+        }
+
+        double latest() {
+            return measurements.peekLast()[1];
+        }
+
+        PollReport.TaskReport report(TaskId id, double now, double delay, Workloads workloads) {
+            return new PollReport.TaskReport(id, attempt, phase, usage(now, delay, workloads), checkpoint, null);
+        }
+
+        /** Returns the newest measurement that is old enough to have arrived. */
+        private PollReport.Usage usage(double now, double delay, Workloads workloads) {
+            double[] arrived = null;
+            while (!measurements.isEmpty() && now - measurements.peekFirst()[0] >= delay) {
+                arrived = measurements.pollFirst();
+            }
+            if (service < 0) {
+                long used = (long) workloads.trueMillicores(batchClass);
+                return new PollReport.Usage(throttled ? used / 2 : used, 1, (long) (delay * 1e9), 0);
+            }
+            return arrived == null
+                    ? null
+                    : new PollReport.Usage(declared, 1, (long) ((now - arrived[0]) * 1e9), arrived[1]);
+        }
+    }
+}
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/tasks/ActingScheduler.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/tasks/ActingScheduler.java
@@ -7,12 +7,13 @@
 import dev.waxwinghead.model.error.WaxwingheadException;
 import dev.waxwinghead.model.id.TaskId;
 import dev.waxwinghead.model.manifest.ManifestKey;
+import dev.waxwinghead.model.manifest.ObjectiveManifest;
 import dev.waxwinghead.model.manifest.QuotaManifest;
 import dev.waxwinghead.model.time.Ticker;
-import dev.waxwinghead.scheduling.placement.HarmModel;
 import dev.waxwinghead.scheduling.placement.WorkerScore;
 import dev.waxwinghead.scheduling.task.CommandResult;
 import dev.waxwinghead.scheduling.task.DataCentreScheduler;
+import dev.waxwinghead.scheduling.task.Learning;
 import dev.waxwinghead.scheduling.task.PollAnswer;
 import dev.waxwinghead.scheduling.task.PollReport;
 import dev.waxwinghead.scheduling.task.SchedulerTerm;
@@ -46,6 +47,7 @@
     private final TaskProposals proposals;
     private final SchedulerTimes times;
     private final SchedulerElection election;
+    private final Learning learning = Learning.create();
     private final String address;
     private final ConcurrentLinkedQueue<TaskId> changed = new ConcurrentLinkedQueue<>();
     private volatile boolean following;
@@ -55,7 +57,7 @@
     private boolean proposing;
     private boolean inDoubt;
     private boolean leaving;
-    private long quotaRevision;
+    private long policyRevision;
 
     ActingScheduler(DaemonContext context, TaskTable table, TaskProposals proposals) {
         this.context = context;
@@ -107,7 +109,7 @@
         }
         renewIfDue();
         takeChanges();
-        takeQuotas();
+        takePolicies();
         scheduler.tick(ticker.nanos());
         flush();
     }
@@ -171,13 +173,18 @@
         }
     }
 
-    private void takeQuotas() {
+    private void takePolicies() {
         Configuration configuration = context.configuration().current();
-        if (configuration.revision() != quotaRevision) {
-            quotaRevision = configuration.revision();
+        if (configuration.revision() != policyRevision) {
+            policyRevision = configuration.revision();
             scheduler.quotas(configuration
                     .all(QuotaManifest.class)
                     .collect(Collectors.toMap(QuotaManifest::name, Function.identity())));
+            learning.objective(configuration
+                    .all(ObjectiveManifest.class)
+                    .filter(objective -> objective.name().equals("default"))
+                    .findFirst()
+                    .orElse(Learning.EQUAL_WEIGHTS));
         }
     }
 
@@ -208,9 +215,9 @@
         following = true;
         inDoubt = false;
         proposing = false;
-        quotaRevision = 0;
+        policyRevision = 0;
         scheduler = DataCentreScheduler.create(
-                term, table, times, WorkerScore.byHarm(HarmModel.NONE), sent, ticker.nanos());
+                term, table, times, WorkerScore.byHarm(learning), learning, sent, ticker.nanos());
         LOG.infof("scheduler of %s in term %d", context.dataCentre(), result.term());
     }
 
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/placement/HarmScore.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/placement/HarmScore.java
@@ -14,7 +14,16 @@
 
     @Override
     double of(WorkerSlot slot, Workload workload) {
-        return slot.residents().harm(workload, model) + LEFT_OVER_WEIGHT * leftOver(slot, workload);
+        double load = (slot.residents().expectedMillicores(model) + model.expectedMillicores(workload))
+                / Math.max(1, slot.description().capacity().millicores());
+        return slot.residents().harm(workload, model)
+                + model.overload(load)
+                + LEFT_OVER_WEIGHT * leftOver(slot, workload);
+    }
+
+    @Override
+    boolean accepts(WorkerSlot slot, Workload workload) {
+        return slot.residents().accepts(workload, model);
     }
 
     /** Returns the free shares of processors, memory and accelerators after the placement, 0 to 3. */
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/placement/PlacementDecision.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/placement/PlacementDecision.java
@@ -11,6 +11,9 @@
  * @since 0.1
  */
 public record PlacementDecision(Optional<WorkerId> worker, String reason) {
+    private static final String HELD =
+            "the workers with room run services that it would slow down; it is placed there if it waits for long";
+
     static PlacementDecision on(WorkerId worker) {
         return new PlacementDecision(Optional.of(worker), null);
     }
@@ -18,4 +21,17 @@
     static PlacementDecision refused(String reason) {
         return new PlacementDecision(Optional.empty(), reason);
     }
+
+    static PlacementDecision held() {
+        return new PlacementDecision(Optional.empty(), HELD);
+    }
+
+    /**
+     * Tells whether there is room, but only where the task would slow services down.
+     *
+     * @return true if the task is held back for that reason alone
+     */
+    public boolean isHeld() {
+        return worker.isEmpty() && HELD.equals(reason);
+    }
 }
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/placement/PlacementIndex.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/placement/PlacementIndex.java
@@ -146,17 +146,21 @@
      * @param workload what the task is
      * @param allowed asked about restricted workers only
      * @param avoided workers that are chosen only if no other will do
+     * @param insists whether the task is placed even where it slows services down
      * @return the choice, or why there is none
      */
-    public PlacementDecision choose(Workload workload, Predicate<WorkerId> allowed, Set<WorkerId> avoided) {
+    public PlacementDecision choose(
+            Workload workload, Predicate<WorkerId> allowed, Set<WorkerId> avoided, boolean insists) {
         int found = collect(workload, allowed);
         if (found == 0) {
             return PlacementDecision.refused(PlacementReason.explain(workload, slots));
         }
         int preferred = avoided.isEmpty() ? found : keepUnlessAvoided(found, avoided);
         int evenest = keepLeastUsed(preferred == 0 ? found : preferred, workload);
-        return PlacementDecision.on(
-                slots.get(best(evenest, workload)).description().id());
+        int best = best(evenest, workload, insists);
+        return best < 0
+                ? PlacementDecision.held()
+                : PlacementDecision.on(slots.get(best).description().id());
     }
 
     /**
@@ -277,8 +281,10 @@
         };
     }
 
-    /** Scores all candidates if they are few, else an even sample that starts elsewhere each time. */
-    private int best(int found, Workload workload) {
+    /**
+     * Scores all candidates if they are few, else an even sample that starts elsewhere each time; -1 if none will do.
+     */
+    private int best(int found, Workload workload, boolean insists) {
         int scored = score.sampled() ? Math.min(found, MAX_SCORED) : found;
         int best = -1;
         double least = Double.POSITIVE_INFINITY;
@@ -286,6 +292,9 @@
         for (int i = 0; i < scored; i++) {
             int at = found == scored ? i : (int) (((long) i * found / scored + rotation) % found);
             int candidate = candidates[at];
+            if (!insists && !score.accepts(slots.get(candidate), workload)) {
+                continue;
+            }
             double value = score.of(slots.get(candidate), workload);
             if (value < least) {
                 least = value;
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/placement/Residents.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/placement/Residents.java
@@ -7,6 +7,8 @@
 
 /** Counts the tasks of each workload on one worker. */
 final class Residents {
+    private static final double NEGLIGIBLE_RISE = 0.02;
+
     private final List<Group> groups = new ArrayList<>(4);
 
     void add(Workload workload) {
@@ -50,10 +52,52 @@
         return false;
     }
 
+    /** Returns the harm that a newcomer adds. */
     double harm(Workload newcomer, HarmModel model) {
+        if (newcomer.service()) {
+            return model.harm(latency(newcomer, model));
+        }
+        double sum = 0;
+        for (Group group : groups) {
+            if (group.workload.service()) {
+                double before = latency(group.workload, model);
+                double after = before + model.rise(group.workload, newcomer);
+                sum += group.count * (model.harm(after) - model.harm(before));
+            }
+        }
+        return sum;
+    }
+
+    /** Tells whether every service here stays quick enough beside a newcomer. */
+    boolean accepts(Workload newcomer, HarmModel model) {
+        if (newcomer.service()) {
+            return true;
+        }
+        for (Group group : groups) {
+            if (group.workload.service()) {
+                double rise = model.rise(group.workload, newcomer);
+                if (rise >= NEGLIGIBLE_RISE && !model.acceptable(latency(group.workload, model) + rise)) {
+                    return false;
+                }
+            }
+        }
+        return true;
+    }
+
+    private double latency(Workload service, HarmModel model) {
+        double latency = model.alone(service);
+        for (Group group : groups) {
+            if (!group.workload.service()) {
+                latency += group.count * model.rise(service, group.workload);
+            }
+        }
+        return latency;
+    }
+
+    double expectedMillicores(HarmModel model) {
         double sum = 0;
         for (Group group : groups) {
-            sum += group.count * model.harm(newcomer, group.workload);
+            sum += group.count * model.expectedMillicores(group.workload);
         }
         return sum;
     }
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/placement/WorkerScore.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/placement/WorkerScore.java
@@ -39,6 +39,11 @@
     /** Rates a worker that fits. */
     abstract double of(WorkerSlot slot, Workload workload);
 
+    /** Tells whether the task may be placed there at all, unless it has waited for long. */
+    boolean accepts(WorkerSlot slot, Workload workload) {
+        return true;
+    }
+
     /** Tells whether a sample of the workers that fit is enough. */
     abstract boolean sampled();
 }
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/task/Commitments.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/task/Commitments.java
@@ -18,10 +18,12 @@
  */
 final class Commitments {
     private final PlacementIndex index;
+    private final Learning learning;
     private final Map<TaskId, Commitment> byTask = new HashMap<>();
     private final Map<WorkerId, Map<TaskId, Commitment>> byWorker = new HashMap<>();
 
-    Commitments(PlacementIndex index) {
+    Commitments(PlacementIndex index, Learning learning) {
+        this.learning = learning;
         this.index = index;
     }
 
@@ -38,20 +40,22 @@
         if (before != null && before.attempt == attempt && before.worker.equals(worker)) {
             return;
         }
-        remove(task);
+        remove(task, now);
         Commitment held = new Commitment(attempt, worker, workload, resources, now);
         byTask.put(task, held);
+        learning.came(worker, workload, now);
         byWorker.computeIfAbsent(worker, key -> new LinkedHashMap<>()).put(task, held);
         if (index.contains(worker)) {
             index.commit(worker, workload, resources);
         }
     }
 
-    void remove(TaskId task) {
+    void remove(TaskId task, long now) {
         Commitment held = byTask.remove(task);
         if (held == null) {
             return;
         }
+        learning.left(held.worker, held.workload, now);
         Map<TaskId, Commitment> tasks = byWorker.get(held.worker);
         tasks.remove(task);
         if (tasks.isEmpty()) {
@@ -70,6 +74,11 @@
         return onWorker(worker).keySet();
     }
 
+    /** Returns what a task is. */
+    Workload workload(TaskId task) {
+        return byTask.get(task).workload;
+    }
+
     /** Returns since when a task has been counted. */
     long sinceNanos(TaskId task) {
         return byTask.get(task).sinceNanos;
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/task/DataCentreScheduler.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/task/DataCentreScheduler.java
@@ -47,17 +47,26 @@
     private long lastNanos;
 
     private DataCentreScheduler(
-            SchedulerTerm term, TaskTable table, SchedulerTimes times, WorkerScore score, long sentNanos, long now) {
+            SchedulerTerm term,
+            TaskTable table,
+            SchedulerTimes times,
+            WorkerScore score,
+            Learning learning,
+            long sentNanos,
+            long now) {
         this.dataCentre = term.dataCentre();
         this.term = term.term();
+        this.lastNanos = now;
+        learning.begin();
         this.table = table;
         this.times = times;
         this.predecessorEndNanos = now + SchedulerTimes.surelyOverNanos(term);
         this.index = PlacementIndex.create(score);
-        this.commitments = new Commitments(index);
-        this.polls = new PollHandler(table, outbox, commitments, times, health);
+        this.commitments = new Commitments(index, learning);
+        this.polls = new PollHandler(
+                table, outbox, commitments, times, health, new PressureRelief(table, outbox, commitments, learning));
         this.placement = new PlacementRound(table, queue, outbox, commitments, index, health, quotas, workers);
-        this.lastNanos = now;
+
         renewed(sentNanos);
         table.tasks().forEach(task -> refresh(task.id()));
     }
@@ -69,13 +78,20 @@
      * @param table the table, which holds the term already
      * @param times the leases
      * @param score rates workers
+     * @param learning what is learned from measurements
      * @param sentNanos when the request for the term was sent
      * @param now the time now
      * @return the scheduler, never null
      */
     public static DataCentreScheduler create(
-            SchedulerTerm term, TaskTable table, SchedulerTimes times, WorkerScore score, long sentNanos, long now) {
-        return new DataCentreScheduler(term, table, times, score, sentNanos, now);
+            SchedulerTerm term,
+            TaskTable table,
+            SchedulerTimes times,
+            WorkerScore score,
+            Learning learning,
+            long sentNanos,
+            long now) {
+        return new DataCentreScheduler(term, table, times, score, learning, sentNanos, now);
     }
 
     /**
@@ -121,7 +137,7 @@
             quotas.release(id);
         }
         if (owner == null || !dataCentre.equals(task.dataCentre())) {
-            commitments.remove(id);
+            commitments.remove(id, lastNanos);
             queue.remove(id);
             return;
         }
@@ -129,7 +145,7 @@
             Attempt live = task.attempt();
             commitments.put(id, live.number(), live.worker(), workload(owner), live.resources(), lastNanos);
         } else if (!startPending) {
-            commitments.remove(id);
+            commitments.remove(id, lastNanos);
         }
         if (task.state() == TaskState.WAITING && !startPending) {
             queue.add(task, owner);
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/task/PlacementRound.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/task/PlacementRound.java
@@ -2,19 +2,27 @@
 
 import dev.waxwinghead.model.id.TaskId;
 import dev.waxwinghead.model.id.WorkerId;
+import dev.waxwinghead.model.manifest.JobManifest;
 import dev.waxwinghead.model.manifest.ManifestKey;
 import dev.waxwinghead.scheduling.health.WorkerHealth;
 import dev.waxwinghead.scheduling.placement.PlacementDecision;
 import dev.waxwinghead.scheduling.placement.PlacementIndex;
 import dev.waxwinghead.scheduling.placement.Workload;
 import dev.waxwinghead.scheduling.quota.QuotaLedger;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 
-/** Gives waiting tasks to workers, in the order of the queue. An owner that is refused keeps no other waiting. */
+/**
+ * Gives waiting tasks to workers, in the order of the queue. An owner that is refused keeps no other waiting, and
+ * owners within their quota go before borrowers.
+ */
 final class PlacementRound {
     private static final int MOST_PLACEMENTS = 4_000;
+    private static final long MOST_HELD_NANOS = TimeUnit.MINUTES.toNanos(5);
 
     private final TaskTable table;
     private final WaitingQueue queue;
@@ -25,6 +33,7 @@
     private final QuotaLedger quotas;
     private final Map<WorkerId, WorkerEntry> workers;
     private final Preemption preemption;
+    private final Map<ManifestKey, Long> heldSinceNanos = new HashMap<>();
     private final Map<ManifestKey, String> refusals = new HashMap<>();
 
     PlacementRound(
@@ -53,21 +62,41 @@
 
     void placeWaiting(long now) {
         refusals.clear();
-        int placed = 0;
+        heldSinceNanos.keySet().removeIf(key -> queue.first(key) == null);
+        int left = MOST_PLACEMENTS;
+        List<ManifestKey> borrowers = new ArrayList<>();
         for (ManifestKey key : queue.owners()) {
-            Optional<OwnerRecord> owner = table.owner(key);
-            while (owner.isPresent() && placed < MOST_PLACEMENTS && placeFirst(owner.get(), now)) {
-                placed++;
+            left = placeAll(key, left, now, false);
+            boolean outOfQuota = table.owner(key)
+                    .filter(owner -> !quotas.within(owner.team(), owner.resources()))
+                    .isPresent();
+            if (outOfQuota && queue.waiting(key) > 0) {
+                borrowers.add(key);
             }
         }
+        for (ManifestKey key : borrowers) {
+            left = placeAll(key, left, now, true);
+        }
     }
 
-    private boolean placeFirst(OwnerRecord owner, long now) {
+    private int placeAll(ManifestKey key, int most, long now, boolean borrows) {
+        Optional<OwnerRecord> owner = table.owner(key);
+        int left = most;
+        while (owner.isPresent() && left > 0 && placeFirst(owner.get(), now, borrows)) {
+            left--;
+        }
+        return left;
+    }
+
+    private boolean placeFirst(OwnerRecord owner, long now, boolean borrows) {
         TaskId id = queue.first(owner.key());
         TaskRecord task = id == null ? null : table.task(id).orElse(null);
         if (task == null || task.state() != TaskState.WAITING) {
             return false;
         }
+        if (!borrows && !quotas.within(owner.team(), owner.resources())) {
+            return false;
+        }
         Optional<String> quota = quotas.refusal(owner.team(), owner.resources(), !owner.service());
         if (quota.isPresent()) {
             refusals.put(owner.key(), quota.get());
@@ -75,16 +104,31 @@
         }
         Workload workload = DataCentreScheduler.workload(owner);
         PlacementDecision decision = index.choose(
-                workload, worker -> health.accepts(worker, owner.key(), now), health.failedOn(owner.key()));
+                workload,
+                worker -> health.accepts(worker, owner.key(), now),
+                health.failedOn(owner.key()),
+                insists(owner, now));
         if (decision.worker().isEmpty()) {
             refusals.put(owner.key(), decision.reason());
-            preemption.makeRoom(owner, workload, now);
+            if (decision.isHeld()) {
+                heldSinceNanos.putIfAbsent(owner.key(), now);
+            } else {
+                preemption.makeRoom(owner, workload, queue.waiting(owner.key()), now);
+            }
             return false;
         }
+        heldSinceNanos.remove(owner.key());
         start(task, owner, workload, decision.worker().get(), now);
         return true;
     }
 
+    /** Services and urgent jobs never wait for a quieter worker, other jobs not for ever. */
+    private boolean insists(OwnerRecord owner, long now) {
+        Long since = heldSinceNanos.get(owner.key());
+        boolean urgent = owner.manifest() instanceof JobManifest job && job.urgent();
+        return owner.service() || urgent || (since != null && now - since >= MOST_HELD_NANOS);
+    }
+
     private void start(TaskRecord task, OwnerRecord owner, Workload workload, WorkerId worker, long now) {
         int attempt = task.attempts() + 1;
         long incarnation = workers.get(worker).incarnation();
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/task/PollHandler.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/task/PollHandler.java
@@ -21,8 +21,16 @@
     private final Commitments commitments;
     private final SchedulerTimes times;
     private final WorkerHealth health;
-
-    PollHandler(TaskTable table, Outbox outbox, Commitments commitments, SchedulerTimes times, WorkerHealth health) {
+    private final PressureRelief relief;
+
+    PollHandler(
+            TaskTable table,
+            Outbox outbox,
+            Commitments commitments,
+            SchedulerTimes times,
+            WorkerHealth health,
+            PressureRelief relief) {
+        this.relief = relief;
         this.health = health;
         this.table = table;
         this.outbox = outbox;
@@ -96,6 +104,7 @@
         TaskRecord task = table.task(reported.task()).orElseThrow();
         if (reported.phase().ended()) {
             if (!outbox.holds(task.id())) {
+                relief.ended(task.id());
                 judge(worker, task, reported.phase(), now);
                 propose(outcome(worker, reported), task.id(), reported.attempt(), text(reported));
             }
@@ -104,6 +113,7 @@
         if (health.restricted(worker) && entry.ranFor(task.id(), now) >= PROOF_NANOS) {
             health.succeeded(worker, task.owner());
         }
+        relief.follow(worker, reported, now, commands);
         followRunning(task, reported, commands);
     }
 
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/task/Preemption.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/task/Preemption.java
@@ -10,7 +10,9 @@
 import dev.waxwinghead.scheduling.placement.PlacementIndex;
 import dev.waxwinghead.scheduling.placement.Workload;
 import dev.waxwinghead.scheduling.quota.QuotaLedger;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -20,11 +22,12 @@
  * Evicts tasks for those that go before them: urgent jobs and services take the place of other jobs, and jobs within
  * their quota take that of borrowers.
  *
- * <p>Each owner is made room for once per interval, so that room that is about to come free is not made twice.
+ * <p>Each task is made room for once per interval, so that room that is about to come free is not made twice.
  */
 final class Preemption {
     private static final long INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(3);
     private static final int MOST_WORKERS_LOOKED_AT = 64;
+    private static final int MOST_AT_ONCE = 16;
 
     private final TaskTable table;
     private final Outbox outbox;
@@ -33,7 +36,7 @@
     private final QuotaLedger quotas;
     private final WorkerHealth health;
     private final Map<WorkerId, WorkerEntry> workers;
-    private final Map<ManifestKey, Long> madeRoomAtNanos = new HashMap<>();
+    private final Map<ManifestKey, Deque<Long>> madeRoomAtNanos = new HashMap<>();
 
     Preemption(
             TaskTable table,
@@ -52,13 +55,28 @@
         this.workers = workers;
     }
 
-    void makeRoom(OwnerRecord owner, Workload workload, long now) {
-        Long last = madeRoomAtNanos.get(owner.key());
-        boolean mayEvict = first(owner) || quotas.within(owner.team(), owner.resources());
-        if (!mayEvict || (last != null && now - last < INTERVAL_NANOS)) {
+    /**
+     * Makes room for as many tasks of an owner as wait, once per interval for each. Lent quota is taken back one task
+     * at a time, so that no more is taken than was lent.
+     */
+    void makeRoom(OwnerRecord owner, Workload workload, int waiting, long now) {
+        if (!first(owner) && !quotas.within(owner.team(), owner.resources())) {
             return;
         }
-        madeRoomAtNanos.values().removeIf(madeRoom -> now - madeRoom >= INTERVAL_NANOS);
+        Deque<Long> made = madeRoomAtNanos.computeIfAbsent(owner.key(), key -> new ArrayDeque<>());
+        while (!made.isEmpty() && now - made.peekFirst() >= INTERVAL_NANOS) {
+            made.pollFirst();
+        }
+        int wanted = first(owner) ? Math.min(waiting, MOST_AT_ONCE) : 1;
+        while (made.size() < wanted && makeRoomOnce(owner, workload, now)) {
+            made.addLast(now);
+        }
+        if (made.isEmpty()) {
+            madeRoomAtNanos.remove(owner.key());
+        }
+    }
+
+    private boolean makeRoomOnce(OwnerRecord owner, Workload workload, long now) {
         List<TaskId> cheapest = List.of();
         for (WorkerId worker :
                 index.withRoomWhenIdle(workload, id -> health.accepts(id, owner.key(), now), MOST_WORKERS_LOOKED_AT)) {
@@ -67,10 +85,8 @@
                 cheapest = victims;
             }
         }
-        if (!cheapest.isEmpty()) {
-            madeRoomAtNanos.put(owner.key(), now);
-            cheapest.forEach(this::evict);
-        }
+        cheapest.forEach(this::evict);
+        return !cheapest.isEmpty();
     }
 
     private List<TaskId> victims(WorkerId worker, OwnerRecord newcomer, long now) {
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/task/WaitingQueue.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/task/WaitingQueue.java
@@ -75,6 +75,12 @@
         return line == null ? null : line.tasks.iterator().next();
     }
 
+    /** Returns how many tasks of an owner are on offer. */
+    int waiting(ManifestKey owner) {
+        Line line = lines.get(owner);
+        return line == null ? 0 : line.tasks.size();
+    }
+
     static int rank(OwnerRecord owner) {
         if (owner.manifest() instanceof JobManifest job) {
             return job.urgent() ? URGENT_RANK : job.priority();
--- a/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/task/Bench.java
+++ b/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/task/Bench.java
@@ -38,8 +38,8 @@
         DataCentreId dataCentre = History.DATA_CENTRE;
         apply(new TaskCommand.Acquire(dataCentre, HostId.of("e1"), "e1", 0, History.TIMES.longestLeaseMillis()));
         SchedulerTerm term = table.scheduler(dataCentre).orElseThrow();
-        scheduler =
-                DataCentreScheduler.create(term, table, History.TIMES, WorkerScore.byHarm(HarmModel.NONE), now, now);
+        scheduler = DataCentreScheduler.create(
+                term, table, History.TIMES, WorkerScore.byHarm(HarmModel.NONE), Learning.create(), now, now);
         table.onChange(task -> changed.add(task.id()));
     }
 
--- a/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/task/SimulatedHost.java
+++ b/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/task/SimulatedHost.java
@@ -147,7 +147,13 @@
             SchedulerTerm term = table.scheduler(History.DATA_CENTRE).orElse(null);
             if (index > 0 && term != null && term.term() == index) {
                 scheduler = DataCentreScheduler.create(
-                        term, table, History.TIMES, WorkerScore.byHarm(HarmModel.NONE), sent, clock());
+                        term,
+                        table,
+                        History.TIMES,
+                        WorkerScore.byHarm(HarmModel.NONE),
+                        Learning.create(),
+                        sent,
+                        clock());
                 proposing = false;
                 inDoubt = false;
             }
