Cut every second leader off before its kill

A trial with a leader that commits without a majority passed LeaderKillTests: entries leave for the followers before the acknowledgement, so a kill alone never loses them. Every second leader is now cut off first and sent one change, which counts only if it is acknowledged.

A backoff that doubles up to 30 s was not noticed: the downtime is too short for it.

--- a/waxwinghead-systemtests/src/test/java/dev/waxwinghead/systemtests/coordination/LeaderKillTests.java
+++ b/waxwinghead-systemtests/src/test/java/dev/waxwinghead/systemtests/coordination/LeaderKillTests.java
@@ -4,6 +4,7 @@
 import static com.google.common.truth.Truth.assertWithMessage;
 
 import dev.waxwinghead.systemtests.EntryHost;
+import dev.waxwinghead.testkit.relay.TcpRelay;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.List;
@@ -20,6 +21,7 @@
 
 class LeaderKillTests {
     private static final int KILLS = 5;
+    private static final long CUT_MILLIS = 300;
     private static final Duration LIMIT = Duration.ofSeconds(30);
 
     @TempDir
@@ -45,6 +47,18 @@
         }
     }
 
+    /** Cuts the leader off and sends it a change, which counts only if it is acknowledged all the same. */
+    private void proposeWhileCutOff(CoordinationCluster cluster, EntryHost leader, String tenant) {
+        cluster.eachRelayOf(leader, TcpRelay::drop);
+        var change = cluster.client().putTenant(leader, "put-" + tenant, null, tenant);
+        CoordinationCluster.sleep(CUT_MILLIS);
+        if (change.isDone()
+                && !change.isCompletedExceptionally()
+                && change.join().ok()) {
+            acknowledged.put("Tenant/" + tenant, change.join().revision());
+        }
+    }
+
     private void checkEverywhere(CoordinationCluster cluster, String when) {
         for (EntryHost host : cluster.hosts()) {
             assertWithMessage("%s, on %s", when, host.id())
@@ -66,7 +80,11 @@
                 CoordinationCluster.await(LIMIT, "change", () -> acknowledged.size() > before + 5);
                 CoordinationCluster.sleep(random.nextInt(200));
                 EntryHost leader = cluster.leader(cluster.hosts());
+                if (kill % 2 == 1) {
+                    proposeWhileCutOff(cluster, leader, "cut" + kill);
+                }
                 leader.process().kill();
+                cluster.eachRelayOf(leader, TcpRelay::heal);
                 int killedAt = acknowledged.size();
                 CoordinationCluster.await(LIMIT, "failover", () -> acknowledged.size() > killedAt + 1);
                 leader.start();
