--- /dev/null
+++ b/waxwinghead-benchmarks/src/main/java/dev/waxwinghead/benchmarks/callers/package-info.java
@@ -0,0 +1,2 @@
+/** Benches of routing: policies in virtual time beside baselines, and what an entry host adds on loopback. */
+package dev.waxwinghead.benchmarks.callers;
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/callers/AnswerBody.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/callers/AnswerBody.java
@@ -94,8 +94,8 @@
     }
 
     /** Ends a feed on this side: the caller sees a whole body, the upstream a closed connection. */
-    synchronized void finishEarly() {
-        if (!ended && sink != null) {
+    synchronized void finishEarly(byte[] finalEvent) {
+        if (!ended && sink != null && write(ByteBuffer.wrap(finalEvent))) {
             ended = true;
             subscription.cancel();
             finishSink();
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/callers/Call.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/callers/Call.java
@@ -4,7 +4,9 @@
 import dev.waxwinghead.daemon.claims.ClaimStore;
 import dev.waxwinghead.model.id.UpstreamId;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Set;
+import java.util.concurrent.Future;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Function;
 
@@ -17,6 +19,9 @@
     private ClaimStore.Ticket ticket;
     private volatile boolean holdsClaim;
     private volatile boolean countedAgainstLimits;
+    private final Set<UpstreamTable.Reservation> running = new HashSet<>();
+    private Future<?> hedge;
+    private boolean won;
     private int attempts;
     private boolean mayHaveRun;
     private String reason = "";
@@ -68,9 +73,43 @@
         return Set.copyOf(tried);
     }
 
-    synchronized void startAttempt(UpstreamId upstream) {
+    synchronized void startAttempt(UpstreamTable.Reservation reservation) {
         attempts++;
-        tried.add(upstream);
+        tried.add(reservation.upstream().id());
+        running.add(reservation);
+    }
+
+    /** Records the end of an attempt. Returns true if no other one runs. */
+    synchronized boolean endAttempt(UpstreamTable.Reservation reservation) {
+        running.remove(reservation);
+        return running.isEmpty();
+    }
+
+    /** Sets what starts a second attempt later; it is dropped once an attempt has won. */
+    synchronized void hedgeBy(Future<?> later) {
+        hedge = later;
+        if (won) {
+            hedge.cancel(false);
+        }
+    }
+
+    /** Makes an attempt's answer the one that the caller gets; true for the first only. */
+    synchronized boolean win() {
+        boolean first = !won;
+        won = true;
+        if (hedge != null) {
+            hedge.cancel(false);
+        }
+        return first;
+    }
+
+    synchronized boolean won() {
+        return won;
+    }
+
+    /** Returns the attempts that run. */
+    synchronized List<UpstreamTable.Reservation> running() {
+        return List.copyOf(running);
     }
 
     synchronized int attempts() {
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/callers/CallDispatcher.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/callers/CallDispatcher.java
@@ -3,13 +3,13 @@
 import dev.waxwinghead.daemon.upstreams.UpstreamRegistry;
 import dev.waxwinghead.model.error.ErrorKind;
 import dev.waxwinghead.model.error.WaxwingheadException;
-import dev.waxwinghead.model.id.ServiceName;
 import dev.waxwinghead.model.time.Deadline;
 import dev.waxwinghead.model.time.Ticker;
 import dev.waxwinghead.scheduling.limits.FairQueue;
 import dev.waxwinghead.scheduling.limits.RequestLimits;
 import dev.waxwinghead.scheduling.retry.AttemptEnd;
 import dev.waxwinghead.scheduling.retry.RetryPolicy;
+import java.io.IOException;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -26,14 +26,17 @@
  * sent or answered.
  */
 final class CallDispatcher {
+    private static final double WAIT_MARGIN = 1.25;
+
     private final UpstreamRegistry registry;
     private final UpstreamTable table;
     private final UpstreamSender sender;
     private final RequestLimits limits;
     private final RetryPolicy retries;
+    private final Hedging hedging;
     private final Ticker ticker;
     private final CallerMeters meters;
-    private final Map<ServiceName, FairQueue<Call>> queues = new HashMap<>();
+    private final Map<QueueKey, FairQueue<Call>> queues = new HashMap<>();
     private final AnswerHandler answers;
 
     private CallDispatcher(
@@ -42,6 +45,7 @@
             UpstreamSender sender,
             RequestLimits limits,
             RetryPolicy retries,
+            Hedging hedging,
             Ticker ticker,
             CallerMeters meters,
             AnswerHandler answers) {
@@ -50,6 +54,7 @@
         this.sender = sender;
         this.limits = limits;
         this.retries = retries;
+        this.hedging = hedging;
         this.ticker = ticker;
         this.meters = meters;
         this.answers = answers;
@@ -70,10 +75,11 @@
             UpstreamSender sender,
             RequestLimits limits,
             RetryPolicy retries,
+            Hedging hedging,
             Ticker ticker,
             CallerMeters meters,
             AnswerHandler answers) {
-        return new CallDispatcher(registry, table, sender, limits, retries, ticker, meters, answers);
+        return new CallDispatcher(registry, table, sender, limits, retries, hedging, ticker, meters, answers);
     }
 
     /** Sends a call to an upstream now, or later, or refuses it. */
@@ -81,9 +87,9 @@
         Optional<UpstreamTable.Reservation> reservation;
         Optional<WaxwingheadException> refusal = Optional.empty();
         synchronized (this) {
-            FairQueue<Call> queue = queues.get(call.request().service());
+            FairQueue<Call> queue = queues.get(QueueKey.of(call.request()));
             boolean othersWait = queue != null && queue.size() > 0;
-            reservation = othersWait ? Optional.empty() : table.reserve(call.request(), call.tried());
+            reservation = othersWait ? Optional.empty() : table.reserve(call.request(), call.tried(), 1);
             if (reservation.isEmpty()) {
                 refusal = enqueue(call);
             }
@@ -94,11 +100,11 @@
 
     /** Sends waiting calls for which there is a slot. */
     void drainQueues() {
-        List<ServiceName> services;
+        List<QueueKey> keys;
         synchronized (this) {
-            services = new ArrayList<>(queues.keySet());
+            keys = new ArrayList<>(queues.keySet());
         }
-        services.forEach(this::drainQueue);
+        keys.forEach(this::drainQueue);
     }
 
     /** Refuses the waiting calls that can't be answered in time any more. */
@@ -119,16 +125,16 @@
     /** Tells why a call would be refused now: nobody serves it, or the queue is too long for its deadline. */
     synchronized Optional<WaxwingheadException> refusal(Call call) {
         CallRequest request = call.request();
-        UpstreamTable.Throughput throughput = table.throughput(request.service());
+        UpstreamTable.Throughput throughput = table.throughput(QueueKey.of(request));
         if (throughput.upstreams() == 0) {
             return Optional.of(noUpstream(request));
         }
-        FairQueue<Call> queue = queues.get(request.service());
+        FairQueue<Call> queue = queues.get(QueueKey.of(request));
         if (queue == null || queue.size() == 0) {
             return Optional.empty();
         }
         long wait = throughput.waitNanos(queue.ahead(flow(request), weight(request)));
-        long needed = wait + throughput.serviceNanos();
+        long needed = (long) (wait * WAIT_MARGIN) + throughput.serviceNanos();
         if (needed <= request.deadline().remaining(ticker).toNanos()) {
             return Optional.empty();
         }
@@ -143,7 +149,7 @@
         Optional<WaxwingheadException> refusal = refusal(call);
         if (refusal.isEmpty()) {
             CallRequest request = call.request();
-            queues.computeIfAbsent(request.service(), service -> FairQueue.create())
+            queues.computeIfAbsent(QueueKey.of(request), key -> FairQueue.create())
                     .add(
                             flow(request),
                             weight(request),
@@ -174,19 +180,23 @@
                 "check the service's name and that its upstreams announce themselves");
     }
 
-    /** Sends waiting calls of a service for which there is a slot. */
-    void drainQueue(ServiceName service) {
+    /** Sends waiting calls for which there is a slot, of the service and resource that an ended call used. */
+    void drainQueue(CallRequest ended) {
+        drainQueue(QueueKey.of(ended));
+    }
+
+    private void drainQueue(QueueKey key) {
         while (true) {
             Call call;
             Optional<UpstreamTable.Reservation> reservation;
             synchronized (this) {
-                FairQueue<Call> queue = queues.get(service);
+                FairQueue<Call> queue = queues.get(key);
                 if (queue == null || queue.size() == 0) {
                     return;
                 }
                 Optional<Call> next = queue.peek();
                 call = next.orElseThrow();
-                reservation = table.reserve(call.request(), call.tried());
+                reservation = table.reserve(call.request(), call.tried(), queue.size());
                 if (reservation.isEmpty()) {
                     return;
                 }
@@ -199,8 +209,9 @@
     private void attempt(Call call, UpstreamTable.Reservation reservation) {
         CallRequest request = call.request();
         Duration remaining = request.deadline().remaining(ticker);
-        Duration time = RetryPolicy.attemptTime(request.kind().idempotent(), call.attempts(), remaining);
-        call.startAttempt(reservation.upstream().id());
+        Duration usual = usualLatency(request);
+        Duration time = RetryPolicy.attemptTime(request.kind().idempotent(), call.attempts(), remaining, usual);
+        call.startAttempt(reservation);
         send(request, reservation, Deadline.after(time, ticker))
                 .thenAccept(result -> ended(call, reservation, result))
                 .exceptionally(failure -> {
@@ -208,12 +219,28 @@
                     answers.refused(call, WaxwingheadException.from(failure));
                     return null;
                 });
+        hedging.whenLate(call, usual, () -> hedge(call)).ifPresent(call::hedgeBy);
+    }
+
+    private void hedge(Call call) {
+        if (call.won() || call.running().size() != 1) {
+            return;
+        }
+        table.reserve(call.request(), call.tried(), 1).ifPresent(reservation -> {
+            boolean another = !call.tried().contains(reservation.upstream().id());
+            if (another && hedging.trySpend()) {
+                meters.hedge();
+                attempt(call, reservation);
+            } else {
+                reservation.abandoned();
+            }
+        });
     }
 
     private CompletableFuture<AttemptResult> send(
             CallRequest request, UpstreamTable.Reservation reservation, Deadline deadline) {
         try {
-            return sender.send(request, reservation.upstream(), deadline);
+            return sender.send(request, reservation.upstream(), deadline, reservation::cancelWith);
         } catch (RuntimeException e) {
             // The request may have left already.
             return CompletableFuture.completedFuture(AttemptResult.failed(AttemptEnd.BROKEN, e.toString()));
@@ -222,23 +249,49 @@
 
     private void ended(Call call, UpstreamTable.Reservation reservation, AttemptResult result) {
         meters.attempt(result.end());
+        boolean last = call.endAttempt(reservation);
         if (result.end() == AttemptEnd.ANSWERED) {
-            answers.answered(call, result.answer(), reservation);
+            won(call, reservation, result.answer());
             return;
         }
-        if (result.end() == AttemptEnd.NOT_RUN) {
+        if (call.won() || result.end() == AttemptEnd.NOT_RUN || timedOutEarly(call, reservation, result)) {
             reservation.abandoned();
         } else {
             reservation.failed();
         }
         call.attemptFailed(result);
+        if (last && !call.won()) {
+            resendOrRefuse(call, result);
+        }
+        drainQueue(call.request());
+    }
+
+    private boolean timedOutEarly(Call call, UpstreamTable.Reservation reservation, AttemptResult result) {
+        return result.end() == AttemptEnd.TIMED_OUT
+                && !RetryPolicy.blames(Duration.ofNanos(reservation.elapsed()), usualLatency(call.request()));
+    }
+
+    private Duration usualLatency(CallRequest request) {
+        return Duration.ofNanos(table.throughput(QueueKey.of(request)).serviceNanos());
+    }
+
+    private void won(Call call, UpstreamTable.Reservation reservation, UpstreamAnswer answer) {
+        if (call.win()) {
+            call.running().forEach(UpstreamTable.Reservation::cancel);
+            answers.answered(call, answer, reservation);
+        } else {
+            answer.body().cancel(new IOException("another upstream answered first"));
+            reservation.abandoned();
+        }
+    }
+
+    private void resendOrRefuse(Call call, AttemptResult result) {
         Duration remaining = call.request().deadline().remaining(ticker);
         if (retries.resend(call.request().kind().idempotent(), result.end(), call.attempts(), remaining)) {
             dispatch(call);
         } else {
             answers.refused(call, failure(call, result.end()));
         }
-        drainQueue(call.request().service());
     }
 
     private static WaxwingheadException failure(Call call, AttemptEnd end) {
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/callers/CallerHandler.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/callers/CallerHandler.java
@@ -10,11 +10,11 @@
 import dev.waxwinghead.scheduling.limits.RequestLimits;
 import dev.waxwinghead.scheduling.retry.RetryBudget;
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
@@ -22,6 +22,8 @@
 
 /** Reads callers' requests, hands them to the dispatcher and gives each caller its outcome. */
 final class CallerHandler implements HttpHandler, CallDispatcher.AnswerHandler, KeyedCalls.Endings {
+    private static final String EVENT_STREAM = "text/event-stream";
+    private static final byte[] RECONNECT_EVENT = "event: reconnect\ndata: {}\n\n".getBytes(StandardCharsets.UTF_8);
     private static final long NOT_READY_MILLIS = 1_000;
     private static final long SETTLE_MILLIS = 50;
     private static final Duration LONGEST_WRITE = Duration.ofSeconds(5);
@@ -32,7 +34,7 @@
     private final RetryBudget budget;
     private final CallerResponses responses = CallerResponses.create(this::leaving);
     private final AtomicInteger inFlight = new AtomicInteger();
-    private final Set<AnswerBody> feeds = ConcurrentHashMap.newKeySet();
+    private final Map<AnswerBody, byte[]> feeds = new ConcurrentHashMap<>();
     private volatile CallDispatcher dispatcher;
     private volatile KeyedCalls keyed;
     private volatile boolean leaving;
@@ -128,7 +130,7 @@
         } else {
             stream(call, answer, headers, reservation);
         }
-        dispatcher.drainQueue(call.request().service());
+        dispatcher.drainQueue(call.request());
     }
 
     @Override
@@ -158,7 +160,7 @@
 
     /** Breaks off the feeds whose callers don't read. */
     void endStalledFeeds() {
-        for (AnswerBody feed : feeds) {
+        for (AnswerBody feed : feeds.keySet()) {
             if (feed.stalled(LONGEST_WRITE)) {
                 feed.cancel(new IOException("the caller does not read"));
             }
@@ -187,7 +189,7 @@
         boolean feed = call.request().kind() == CallKind.FEED;
         if (feed) {
             headers.put("Connection", List.of("close"));
-            feeds.add(answer.body());
+            feeds.put(answer.body(), finalEvent(answer));
         }
         if (!call.finish()) {
             return;
@@ -207,12 +209,22 @@
         }
     }
 
+    /** Returns what tells a feed's caller to reconnect, for the media types that have a way to say it. */
+    private static byte[] finalEvent(UpstreamAnswer answer) {
+        String type = answer.headers().entrySet().stream()
+                .filter(header -> header.getKey().equalsIgnoreCase("content-type"))
+                .map(header -> header.getValue().get(0))
+                .findFirst()
+                .orElse("");
+        return type.startsWith(EVENT_STREAM) ? RECONNECT_EVENT.clone() : new byte[0];
+    }
+
     private void streamed(Call call, UpstreamAnswer answer, UpstreamTable.Reservation reservation, Throwable cause) {
         feeds.remove(answer.body());
         reservation.answered();
         Outcome outcome = cause == null ? Outcome.ANSWERED : Outcome.UNKNOWN;
         count(call, outcome);
-        dispatcher.drainQueue(call.request().service());
+        dispatcher.drainQueue(call.request());
     }
 
     private static RecordedAnswer recorded(UpstreamAnswer answer, byte[] body) {
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/callers/CallersPart.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/callers/CallersPart.java
@@ -90,6 +90,7 @@
                 UpstreamSender.create(clients, context.ticker(), context.timer()),
                 limits,
                 RetryPolicy.create(budget),
+                Hedging.create(limits, budget, context.timer(), executor),
                 context.ticker(),
                 meters,
                 handler);
@@ -101,6 +102,7 @@
         every(context, CLEAN_TICK_MILLIS, () -> {
             clients.retain(table.retainLive());
             context.pool().execute(handler::endStalledFeeds);
+            context.pool().execute(table::cancelExcess);
         });
         context.meters().gauge("waxwinghead.upstream.generations.replaced", clients, UpstreamClients::replaced);
         context.meters().gauge("waxwinghead.caller.waiting", dispatcher, CallDispatcher::waiting);
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/callers/UpstreamClients.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/callers/UpstreamClients.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentMap;
 import java.util.concurrent.Executor;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 
 /**
@@ -20,6 +21,7 @@
 final class UpstreamClients {
     private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
     private static final long LEAST_GENERATION_NANOS = Duration.ofMillis(250).toNanos();
+    private static final long REPEATED_GENERATION_NANOS = Duration.ofSeconds(2).toNanos();
 
     static {
         // The client may resend a GET by itself and connect twice; the first attempt is to be the only one.
@@ -48,11 +50,15 @@
         return current != null ? current : generations.computeIfAbsent(upstream.id(), id -> next());
     }
 
-    /** Replaces a generation if nothing was heard on it since an attempt started. */
+    /**
+     * Records that an attempt timed out without an answer. The generation is replaced if nothing was heard on it since
+     * the attempt started, or if that happens again and again.
+     */
     void suspect(Upstream upstream, Generation generation, long attemptStartedAt) {
-        boolean heardSince = generation.heardAt() - attemptStartedAt >= 0;
-        boolean young = ticker.nanos() - generation.createdAt < LEAST_GENERATION_NANOS;
-        if (!heardSince && !young && generations.replace(upstream.id(), generation, next())) {
+        long age = ticker.nanos() - generation.createdAt;
+        boolean silent = generation.heardAt() - attemptStartedAt < 0 && age > LEAST_GENERATION_NANOS;
+        boolean repeated = generation.timeouts.incrementAndGet() > 1 && age > REPEATED_GENERATION_NANOS;
+        if ((silent || repeated) && generations.replace(upstream.id(), generation, next())) {
             replaced.incrementAndGet();
         }
     }
@@ -87,6 +93,7 @@
     static final class Generation {
         private final HttpClient client;
         private final long createdAt;
+        private final AtomicInteger timeouts = new AtomicInteger();
         private volatile long heardAt;
 
         private Generation(HttpClient client, long createdAt) {
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/callers/UpstreamSender.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/callers/UpstreamSender.java
@@ -12,6 +12,7 @@
 import java.net.http.HttpResponse;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CancellationException;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.ScheduledExecutorService;
@@ -19,6 +20,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Consumer;
 
 /** Sends a request to an upstream once. The future always completes with a result and never fails. */
 final class UpstreamSender {
@@ -40,8 +42,13 @@
         return new UpstreamSender(clients, ticker, timer);
     }
 
-    /** Sends the request; the answer's headers and, but for a feed, its whole body must arrive before the deadline. */
-    CompletableFuture<AttemptResult> send(CallRequest request, Upstream upstream, Deadline deadline) {
+    /**
+     * Sends the request; the answer's headers and, but for a feed, its whole body must arrive before the deadline.
+     *
+     * @param cancellable receives what breaks the attempt off
+     */
+    CompletableFuture<AttemptResult> send(
+            CallRequest request, Upstream upstream, Deadline deadline, Consumer<Runnable> cancellable) {
         if (deadline.passed(ticker)) {
             return CompletableFuture.completedFuture(
                     AttemptResult.failed(AttemptEnd.NOT_SENT, "the deadline has passed"));
@@ -63,6 +70,7 @@
                     body.set(created);
                     return created;
                 });
+        cancellable.accept(() -> expire(exchange, body));
         ScheduledFuture<?> timeout = timer.schedule(
                 () -> expire(exchange, body), deadline.remaining(ticker).toNanos(), TimeUnit.NANOSECONDS);
         CompletableFuture<AttemptResult> result = exchange.handle((response, failure) -> failure == null
@@ -152,7 +160,7 @@
         if (cause instanceof ConnectException || cause instanceof HttpConnectTimeoutException) {
             return AttemptResult.failed(AttemptEnd.NOT_SENT, reason);
         }
-        if (cause instanceof java.util.concurrent.CancellationException || cause instanceof TimeoutException) {
+        if (cause instanceof CancellationException || cause instanceof TimeoutException) {
             clients.suspect(upstream, generation, startedAt);
             return AttemptResult.failed(AttemptEnd.TIMED_OUT, "upstream " + upstream.id() + " did not answer in time");
         }
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/callers/UpstreamTable.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/callers/UpstreamTable.java
@@ -4,7 +4,6 @@
 import dev.waxwinghead.daemon.shares.SharesPart;
 import dev.waxwinghead.daemon.upstreams.Upstream;
 import dev.waxwinghead.daemon.upstreams.UpstreamRegistry;
-import dev.waxwinghead.model.id.ServiceName;
 import dev.waxwinghead.model.id.UpstreamId;
 import dev.waxwinghead.model.time.Ticker;
 import dev.waxwinghead.scheduling.routing.UpstreamChooser;
@@ -13,6 +12,7 @@
 import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -29,6 +29,7 @@
     private final SharesPart shares;
     private final UpstreamChooser chooser;
     private final Ticker ticker;
+    private final Set<Reservation> active = new LinkedHashSet<>();
     private final Map<Resource, Map<UpstreamId, UpstreamLoad>> loads = new EnumMap<>(Resource.class);
 
     private UpstreamTable(UpstreamRegistry registry, SharesPart shares, UpstreamChooser chooser, Ticker ticker) {
@@ -45,10 +46,13 @@
         return new UpstreamTable(registry, shares, chooser, ticker);
     }
 
-    /** Reserves a slot of the best upstream, of an untried one if there is any; empty if none has a free one. */
-    synchronized Optional<Reservation> reserve(CallRequest request, Set<UpstreamId> tried) {
+    /**
+     * Reserves a slot of the best upstream, of an untried one if there is any. Empty if none has a free one; then more
+     * slots are asked for, for the given number of calls that wait.
+     */
+    synchronized Optional<Reservation> reserve(CallRequest request, Set<UpstreamId> tried, int waiting) {
         long now = ticker.nanos();
-        Resource resource = resource(request);
+        Resource resource = QueueKey.of(request).resource();
         List<Upstream> serving = registry.serving(request.service());
         Map<UpstreamId, Upstream> byId = new HashMap<>();
         List<UpstreamLoad> all = new ArrayList<>(serving.size());
@@ -65,26 +69,27 @@
         Optional<Reservation> reservation = chooser.choose(untried.isEmpty() ? all : untried, now)
                 .flatMap(load -> start(byId.get(load.upstream()), resource, load, now));
         if (reservation.isEmpty()) {
-            shares.wanted(serving, resource);
+            shares.wanted(serving, resource, waiting);
         }
         return reservation;
     }
 
-    /** Returns the slots of a service over all upstreams, and how long one request holds one. */
-    synchronized Throughput throughput(ServiceName service) {
+    /** Returns what the upstreams of a service have for this host, and how long one request holds a slot. */
+    synchronized Throughput throughput(QueueKey key) {
         long now = ticker.nanos();
         int slots = 0;
         double latency = 0;
+        int timed = 0;
         int upstreams = 0;
-        for (Upstream upstream : registry.serving(service)) {
-            UpstreamLoad load = load(upstream, Resource.SLOTS);
-            if (!load.ejected(now)) {
-                slots += shares.limit(upstream, Resource.SLOTS);
-                latency += load.latencyNanos(now);
-                upstreams++;
-            }
+        for (Upstream upstream : registry.serving(key.service())) {
+            UpstreamLoad load = load(upstream, key.resource());
+            slots += load.ejected(now) ? 0 : shares.limit(upstream, key.resource());
+            latency += load.meanNanos();
+            timed += load.meanNanos() > 0 ? 1 : 0;
+            upstreams++;
         }
-        return new Throughput(upstreams, slots, upstreams == 0 ? 0 : (long) (latency / upstreams));
+        boolean known = timed > 0 && key.resource() == Resource.SLOTS;
+        return new Throughput(upstreams, slots, known ? (long) (latency / timed) : 0);
     }
 
     synchronized int inFlight(UpstreamId upstream) {
@@ -95,6 +100,21 @@
                 .sum();
     }
 
+    /** Breaks off what runs without a share, since its lease ended long ago. */
+    void cancelExcess() {
+        List<Reservation> excess = new ArrayList<>();
+        synchronized (this) {
+            Map<UpstreamLoad, Integer> counts = new HashMap<>();
+            for (Reservation reservation : active) {
+                int before = counts.merge(reservation.load, 1, Integer::sum) - 1;
+                if (before < shares.excess(reservation.upstream, reservation.resource)) {
+                    excess.add(reservation);
+                }
+            }
+        }
+        excess.forEach(Reservation::cancel);
+    }
+
     /** Forgets upstreams that are gone and idle. */
     synchronized Set<UpstreamId> retainLive() {
         Set<UpstreamId> live = new HashSet<>();
@@ -110,11 +130,9 @@
             return Optional.empty();
         }
         load.started(now);
-        return Optional.of(new Reservation(this, upstream, resource, load, now));
-    }
-
-    private static Resource resource(CallRequest request) {
-        return request.kind() == CallKind.FEED ? Resource.FEEDS : Resource.SLOTS;
+        Reservation reservation = new Reservation(this, upstream, resource, load, now);
+        active.add(reservation);
+        return Optional.of(reservation);
     }
 
     private UpstreamLoad load(Upstream upstream, Resource resource) {
@@ -143,6 +161,7 @@
         private final Resource resource;
         private final UpstreamLoad load;
         private final long startedAt;
+        private volatile Runnable canceller = () -> {};
         private boolean released;
 
         private Reservation(
@@ -158,6 +177,16 @@
             return upstream;
         }
 
+        /** Sets how the request on this slot is broken off. */
+        void cancelWith(Runnable given) {
+            canceller = given;
+        }
+
+        /** Breaks off the request on this slot. */
+        void cancel() {
+            canceller.run();
+        }
+
         void answered() {
             release(() -> load.answered(elapsed(), table.ticker.nanos()));
         }
@@ -170,7 +199,7 @@
             release(load::abandoned);
         }
 
-        private long elapsed() {
+        long elapsed() {
             return table.ticker.nanos() - startedAt;
         }
 
@@ -178,6 +207,7 @@
             synchronized (table) {
                 if (!released) {
                     released = true;
+                    table.active.remove(this);
                     ending.run();
                     table.shares.ended(upstream, resource);
                 }
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/shares/ShareCodec.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/shares/ShareCodec.java
@@ -24,7 +24,10 @@
             for (Map.Entry<ShareKey, ShareRequest> entry : ask.requests().entrySet()) {
                 packKey(packer, entry.getKey());
                 ShareRequest request = entry.getValue();
-                packer.packLong(request.sequence()).packInt(request.keep()).packInt(request.want());
+                packer.packLong(request.sequence())
+                        .packInt(request.keep())
+                        .packInt(request.want())
+                        .packBoolean(request.near());
             }
             return packer.toByteArray();
         } catch (IOException e) {
@@ -39,7 +42,13 @@
             int count = unpacker.unpackMapHeader();
             for (int i = 0; i < count; i++) {
                 ShareKey key = unpackKey(unpacker);
-                requests.put(key, new ShareRequest(unpacker.unpackLong(), unpacker.unpackInt(), unpacker.unpackInt()));
+                requests.put(
+                        key,
+                        new ShareRequest(
+                                unpacker.unpackLong(),
+                                unpacker.unpackInt(),
+                                unpacker.unpackInt(),
+                                unpacker.unpackBoolean()));
             }
             return new Ask(incarnation, requests);
         } catch (IOException e) {
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/shares/Shares.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/shares/Shares.java
@@ -3,14 +3,20 @@
 import dev.waxwinghead.daemon.upstreams.Upstream;
 import dev.waxwinghead.model.id.HostId;
 import dev.waxwinghead.model.id.UpstreamId;
+import dev.waxwinghead.scheduling.routing.ShareDemand;
 import dev.waxwinghead.scheduling.routing.ShareHolder;
 import dev.waxwinghead.scheduling.routing.ShareOwner;
 import dev.waxwinghead.scheduling.routing.ShareRequest;
 import dev.waxwinghead.scheduling.routing.ShareTerms;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.OptionalInt;
+import java.util.Random;
 import java.util.Set;
 
 /**
@@ -19,8 +25,6 @@
  * <p>One lock guards all. Nothing else is locked inside it. Times are nanoseconds of this host's monotonic clock.
  */
 final class Shares {
-    private static final int STEP = 2;
-    private static final long DEMAND_KEPT_NANOS = 1_000_000_000L;
 
     private final HostId self;
     private final long incarnation;
@@ -28,6 +32,7 @@
     private final ShareTerms terms;
     private final Map<ShareKey, Share> shares = new HashMap<>();
     private final Map<ShareKey, ShareOwner> owned = new HashMap<>();
+    private final Random random = new Random();
     private boolean open;
     private long sequence;
 
@@ -52,33 +57,41 @@
         return open;
     }
 
-    /** Returns how much this host may have in use now, after taking what it owns and nobody else has. */
+    /** Returns how much this host may have in use now, one of what it owns and nobody has among it. */
     synchronized int limit(Upstream upstream, Resource resource, long now) {
         Share share = share(upstream, resource);
         int limit = share.holder.limit(now);
-        if (share.holder.inUse() < limit || ownership.part(upstream, resource, self) == 0) {
-            return limit;
-        }
-        share.demand(share.holder.inUse() + 1, now);
-        takeOwn(upstream, resource, share, now);
-        return share.holder.limit(now);
+        boolean more = ownership.part(upstream, resource, self) > 0
+                && owner(upstream, resource).free() > 0;
+        return more ? Math.max(limit, share.holder.inUse() + 1) : limit;
     }
 
     synchronized boolean tryStart(Upstream upstream, Resource resource, long now) {
         Share share = share(upstream, resource);
-        boolean started = share.holder.tryStart(now);
-        share.demand(share.holder.inUse(), now);
-        return started;
+        if (share.holder.inUse() >= share.holder.limit(now)) {
+            takeOwn(upstream, resource, share, share.holder.inUse() + 1, now);
+        }
+        return share.holder.tryStart(now);
     }
 
     synchronized void ended(Upstream upstream, Resource resource) {
         share(upstream, resource).holder.ended();
     }
 
-    /** Records that requests wait for want of slots. */
-    synchronized void wanted(Upstream upstream, Resource resource, long now) {
-        Share share = share(upstream, resource);
-        share.demand(share.holder.inUse() + STEP, now);
+    /** Records that requests wait: asks for one more slot of as many upstreams, near ones and far ones. */
+    synchronized void wanted(Collection<Upstream> upstreams, Resource resource, int waiting, long now) {
+        List<Upstream> shuffled = new ArrayList<>(upstreams);
+        Collections.shuffle(shuffled, random);
+        int near = waiting;
+        int far = waiting;
+        for (Upstream upstream : shuffled) {
+            boolean isNear = ownership.owners(upstream).contains(self);
+            int left = isNear ? near-- : far--;
+            if (left > 0) {
+                Share share = share(upstream, resource);
+                share.demand.want(share.holder.limit(now) + 1, now);
+            }
+        }
     }
 
     /** Returns how many requests or feeds must be given up at once. */
@@ -130,7 +143,7 @@
 
     /** Renews what this host lends to itself. */
     synchronized void renewOwn(long now) {
-        shares.forEach((key, share) -> takeOwn(share.upstream, key.resource(), share, now));
+        shares.forEach((key, share) -> takeOwn(share.upstream, key.resource(), share, share.holder.inUse(), now));
     }
 
     /** Forgets upstreams that are gone for good. */
@@ -141,11 +154,11 @@
         owned.keySet().removeIf(key -> !known.contains(key.upstream()));
     }
 
-    private void takeOwn(Upstream upstream, Resource resource, Share share, long now) {
+    private void takeOwn(Upstream upstream, Resource resource, Share share, int want, long now) {
         if (ownership.part(upstream, resource, self) == 0) {
             return;
         }
-        ShareRequest request = share.request(self, ++sequence, now);
+        ShareRequest request = share.holder.request(self, ++sequence, want, true, now);
         OptionalInt limit = owner(upstream, resource).answer(self + "@" + incarnation, request, now);
         limit.ifPresent(given -> share.holder.answered(self, request.sequence(), given, now));
     }
@@ -175,8 +188,7 @@
         private final ShareHolder holder;
         private final int owners;
         private final Map<HostId, Integer> lent = new HashMap<>();
-        private int demand;
-        private long demandAt;
+        private final ShareDemand demand = ShareDemand.create();
 
         private Share(Upstream upstream, ShareHolder holder, int owners) {
             this.upstream = upstream;
@@ -184,26 +196,12 @@
             this.owners = owners;
         }
 
-        private void demand(int wanted, long now) {
-            if (wanted >= demand || now - demandAt > DEMAND_KEPT_NANOS) {
-                demand = wanted;
-                demandAt = now;
-            }
-        }
-
         private ShareRequest request(HostId owner, long next, long now) {
-            if (now - demandAt > DEMAND_KEPT_NANOS) {
-                demand(holder.inUse(), now);
-            }
-            boolean local = owner.equals(self);
-            int others = holder.limit(now) - holder.limitFrom(owner, now);
-            int want = local ? demand : Math.max(0, demand - others);
-            return holder.request(owner, next, local ? want : spread(want), now);
-        }
-
-        /** Divides what is wanted between the owners, so that they are not all asked for all of it. */
-        private int spread(int want) {
-            return (want + owners - 1) / owners;
+            int total = demand.total(holder.inUse(), now);
+            int limitFrom = holder.limitFrom(owner, now);
+            int others = Math.max(1, owners - 1);
+            int want = ShareDemand.from(total, holder.limit(now), limitFrom, others);
+            return holder.request(owner, next, want, ownership.owners(upstream).contains(self), now);
         }
 
         private boolean lent(HostId owner) {
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/shares/SharesPart.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/shares/SharesPart.java
@@ -30,7 +30,7 @@
  * lends it by demand, to itself first of all when nobody else wants it.
  */
 public final class SharesPart implements DaemonPart {
-    private static final long RENEW_MILLIS = 250;
+    private static final long RENEW_MILLIS = 100;
     private static final Duration ANSWER_TIME = Duration.ofMillis(1_500);
     private static final long LEAST_ASK_INTERVAL_NANOS = 5_000_000;
 
@@ -105,12 +105,13 @@
      *
      * @param wanted the upstreams that could serve them
      * @param resource the resource
+     * @param waiting how many requests wait, 1 or more
      */
-    public void wanted(Collection<Upstream> wanted, Resource resource) {
+    public void wanted(Collection<Upstream> wanted, Resource resource, int waiting) {
         long now = ticker().nanos();
-        wanted.forEach(upstream -> shares.wanted(upstream, resource, now));
         long last = askedAt.get();
         if (now - last >= LEAST_ASK_INTERVAL_NANOS && askedAt.compareAndSet(last, now)) {
+            shares.wanted(wanted, resource, waiting, now);
             context.pool().execute(this::askAll);
         }
     }
--- /dev/null
+++ b/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/callers/SharedSlotsTests.java
@@ -0,0 +1,104 @@
+package dev.waxwinghead.daemon.callers;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.net.http.HttpClient;
+import java.net.http.HttpResponse;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+class SharedSlotsTests {
+    private static final int SLOTS = 8;
+
+    private final TestCluster cluster = new TestCluster("e1@dc1", "e2@dc1", "e3@dc1", "e4@dc2");
+    private final List<TestHost> hosts = cluster.addAll();
+    private final HttpClient client = HttpClient.newHttpClient();
+    private StubUpstream upstream;
+
+    @AfterEach
+    void close() {
+        upstream.close();
+        cluster.close();
+    }
+
+    @Test
+    void neverRunsMoreThanTheSlotsOverAllHostsAndUsesThemAll() throws Exception {
+        start();
+        List<CompletableFuture<HttpResponse<String>>> sent = new ArrayList<>();
+        for (int i = 0; i < 300; i++) {
+            sent.add(send(hosts.get(i % hosts.size())));
+        }
+        for (CompletableFuture<HttpResponse<String>> each : sent) {
+            assertWithMessage(each.join().body()).that(each.join().statusCode()).isEqualTo(200);
+        }
+        assertThat(upstream.mostRunning()).isEqualTo(SLOTS);
+    }
+
+    @Test
+    void lendsAllSlotsToTheOneHostThatIsBusy() throws Exception {
+        start();
+        Eventually.check(() -> {
+            List<CompletableFuture<HttpResponse<String>>> sent = new ArrayList<>();
+            for (int i = 0; i < 40; i++) {
+                sent.add(send(hosts.get(0)));
+            }
+            sent.forEach(CompletableFuture::join);
+            assertThat(upstream.mostRunning()).isEqualTo(SLOTS);
+        });
+    }
+
+    @Test
+    void bothSidesOfACutTogetherNeverUseMoreThanTheSlots() throws Exception {
+        start();
+        sendRounds(10);
+        cluster.moveToSide(1, hosts.get(0));
+        try (StubUpstream announcer = StubUpstream.startAt(hosts.get(1), "u1", upstream.port())) {
+            int served = sendRounds(40);
+            assertThat(announcer.runs()).isEqualTo(0);
+            assertThat(upstream.mostRunning()).isAtMost(SLOTS);
+            assertThat(served).isGreaterThan(300);
+        }
+    }
+
+    private int sendRounds(int rounds) {
+        int served = 0;
+        for (int round = 0; round < rounds; round++) {
+            List<CompletableFuture<HttpResponse<String>>> sent = new ArrayList<>();
+            for (int i = 0; i < 24; i++) {
+                sent.add(send(hosts.get(i % 3)));
+            }
+            for (CompletableFuture<HttpResponse<String>> each : sent) {
+                served += each.join().statusCode() == 200 ? 1 : 0;
+            }
+        }
+        return served;
+    }
+
+    private void start() throws Exception {
+        upstream = StubUpstream.start(hosts.get(0), "u1", exchange -> {
+            pause();
+            StubUpstream.reply(exchange, 200, "ok");
+        });
+        Eventually.check(() -> {
+            for (TestHost host : hosts) {
+                assertThat(send(host).join().statusCode()).isEqualTo(200);
+            }
+        });
+    }
+
+    private CompletableFuture<HttpResponse<String>> send(TestHost host) {
+        return client.sendAsync(host.request("/q").build(), HttpResponse.BodyHandlers.ofString());
+    }
+
+    private static void pause() {
+        try {
+            Thread.sleep(25);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- a/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/callers/StubUpstream.java
+++ b/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/callers/StubUpstream.java
@@ -47,6 +47,10 @@
         server.createContext("/", exchange -> run(exchange, handler));
         server.start();
         address = "127.0.0.1:" + (port == 0 ? server.getAddress().getPort() : port);
+        if (host == null) {
+            announcing = timer.schedule(() -> {}, 0, TimeUnit.MILLISECONDS);
+            return;
+        }
         announce();
         announcing = timer.scheduleAtFixedRate(this::announceQuietly, 400, 400, TimeUnit.MILLISECONDS);
     }
@@ -60,6 +64,11 @@
         return new StubUpstream(host, id, host.dataCentre().value(), port, exchange -> {});
     }
 
+    /** Serves without announcing itself. */
+    static StubUpstream unannounced(HttpHandler handler) throws IOException {
+        return new StubUpstream(null, "", "", 0, handler);
+    }
+
     /** Answers with a text. */
     static void reply(HttpExchange exchange, int status, String body) throws IOException {
         try (exchange) {
@@ -73,6 +82,7 @@
         return runs.get();
     }
 
+    /** Returns the runs with a key, or without a key at a path. */
     int runs(String key) {
         return runsByKey.getOrDefault(key, 0);
     }
@@ -124,9 +134,8 @@
         }
         runs.incrementAndGet();
         String key = exchange.getRequestHeaders().getFirst("Idempotency-Key");
-        if (key != null) {
-            runsByKey.merge(key, 1, Integer::sum);
-        }
+        String name = key == null ? exchange.getRequestURI().getPath().substring(1) : key;
+        runsByKey.merge(name, 1, Integer::sum);
         mostRunning.accumulateAndGet(running.incrementAndGet(), Math::max);
         try {
             handler.handle(exchange);
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/retry/RetryPolicy.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/retry/RetryPolicy.java
@@ -11,6 +11,7 @@
     /** The most attempts of one request. */
     public static final int MAX_ATTEMPTS = 3;
 
+    private static final int USUAL_LATENCIES = 3;
     private static final Duration LEAST_ATTEMPT_TIME = Duration.ofMillis(20);
 
     private final RetryBudget budget;
@@ -49,17 +50,29 @@
     }
 
     /**
-     * Returns how long one attempt may take. An idempotent request keeps time for another attempt.
+     * Returns how long one attempt may take. An idempotent request keeps time for another attempt, unless that would
+     * leave an attempt too little for an answer of the usual latency.
      *
      * @param idempotent whether the request may run more than once
      * @param attempts how many attempts were made before
      * @param remaining the time until the request's deadline
+     * @param usual the usual latency of an answer
      * @return the time, at most the remaining time
      */
-    public static Duration attemptTime(boolean idempotent, int attempts, Duration remaining) {
-        if (!idempotent || attempts >= MAX_ATTEMPTS - 1) {
-            return remaining;
-        }
-        return remaining.dividedBy(2);
+    public static Duration attemptTime(boolean idempotent, int attempts, Duration remaining, Duration usual) {
+        Duration half = remaining.dividedBy(2);
+        boolean enough = half.compareTo(usual.multipliedBy(USUAL_LATENCIES)) >= 0;
+        return idempotent && enough && attempts < MAX_ATTEMPTS - 1 ? half : remaining;
+    }
+
+    /**
+     * Tells whether an attempt that timed out speaks against the upstream.
+     *
+     * @param elapsed how long it was waited for
+     * @param usual the usual latency of an answer
+     * @return false if the answer may just have needed longer than the caller would wait
+     */
+    public static boolean blames(Duration elapsed, Duration usual) {
+        return elapsed.compareTo(usual.multipliedBy(USUAL_LATENCIES)) >= 0;
     }
 }
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/routing/ShareHolder.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/routing/ShareHolder.java
@@ -106,10 +106,11 @@
      * @param owner the owner
      * @param sequence rises with each request to the owner
      * @param want what is wanted from this owner
+     * @param near whether this host is in the upstream's data centre
      * @param now the time
      * @return the request
      */
-    public ShareRequest request(HostId owner, long sequence, int want, long now) {
+    public ShareRequest request(HostId owner, long sequence, int want, boolean near, long now) {
         Lease lease = leases.computeIfAbsent(owner, host -> new Lease());
         int limit = lease.valid(now) ? lease.limit : 0;
         int others = limit(now) - limit;
@@ -117,7 +118,7 @@
         lease.limit = Math.min(limit, keep);
         lease.committed = Math.max(0, keep);
         lease.sequence = sequence;
-        return new ShareRequest(sequence, lease.committed, want);
+        return new ShareRequest(sequence, lease.committed, want, near);
     }
 
     /**
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/routing/ShareOwner.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/routing/ShareOwner.java
@@ -10,7 +10,8 @@
  * Lends the slots of one upstream that one entry host owns.
  *
  * <p>The sum of what holders may use or may still have in use never exceeds the total. Where they want more, each gets
- * its max-min fair part: a holder above it is told a lower limit, and what it gives back goes to the others.
+ * its max-min fair part, those of the upstream's data centre first and the others of what these leave. A holder above
+ * its part is told a lower limit, and what it gives back goes to the others.
  *
  * <p>An owner starts closed, since an earlier life of its process may have lent: until it is opened it only confirms
  * what holders say they keep. Not safe for use by several threads.
@@ -62,7 +63,7 @@
             return OptionalInt.empty();
         }
         int others = committed() - (loan == null ? 0 : loan.committed);
-        int limit = open ? Math.min(fairPart(holder, request.want()), total - others) : request.keep();
+        int limit = open ? Math.min(fairPart(holder, request), total - others) : request.keep();
         limit = Math.max(0, limit);
         loans.put(
                 holder,
@@ -70,6 +71,7 @@
                         request.sequence(),
                         Math.max(limit, request.keep()),
                         request.want(),
+                        request.near(),
                         now + terms.countedNanos()));
         return OptionalInt.of(limit);
     }
@@ -83,14 +85,34 @@
         return loans.values().stream().mapToInt(loan -> loan.committed).sum();
     }
 
-    private int fairPart(String holder, int want) {
+    /**
+     * Returns what nobody has been lent.
+     *
+     * @return the number, 0 or more; 0 while the owner is closed
+     */
+    public int free() {
+        return open ? Math.max(0, total - committed()) : 0;
+    }
+
+    private int fairPart(String holder, ShareRequest request) {
+        int left = total;
         List<Integer> wants = new ArrayList<>();
-        wants.add(want);
-        loans.forEach((name, loan) -> {
-            if (!name.equals(holder)) {
+        wants.add(request.want());
+        for (Map.Entry<String, Loan> entry : loans.entrySet()) {
+            Loan loan = entry.getValue();
+            if (entry.getKey().equals(holder)) {
+                continue;
+            }
+            if (loan.near == request.near()) {
                 wants.add(loan.want);
+            } else if (loan.near) {
+                left -= loan.want;
             }
-        });
+        }
+        return maxMinPart(request.want(), wants, Math.max(0, left));
+    }
+
+    private static int maxMinPart(int want, List<Integer> wants, int total) {
         wants.sort(null);
         int left = total;
         for (int i = 0; i < wants.size(); i++) {
@@ -108,5 +130,5 @@
     }
 
     /** What one holder may use or may still have in use. */
-    private record Loan(long sequence, int committed, int want, long countedUntil) {}
+    private record Loan(long sequence, int committed, int want, boolean near, long countedUntil) {}
 }
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/routing/UpstreamChooser.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/routing/UpstreamChooser.java
@@ -10,6 +10,8 @@
 /**
  * Chooses an upstream: the cheaper of two that are drawn at random, from the own data centre while it has free slots.
  *
+ * <p>While most upstreams are ejected, the fault is likely not theirs: then ejection is passed over.
+ *
  * @see <a href="https://doi.org/10.1109/71.963420">Mitzenmacher: The Power of Two Choices in Randomized Load
  *     Balancing</a>
  * @since 0.1
@@ -44,8 +46,9 @@
     public Optional<UpstreamLoad> choose(Collection<UpstreamLoad> upstreams, long now) {
         List<UpstreamLoad> near = new ArrayList<>(upstreams.size());
         List<UpstreamLoad> far = new ArrayList<>();
+        boolean mostEjected = mostEjected(upstreams, now);
         for (UpstreamLoad upstream : upstreams) {
-            if (upstream.admits(now)) {
+            if (mostEjected ? upstream.free() > 0 : upstream.admits(now)) {
                 (upstream.dataCentre().equals(own) ? near : far).add(upstream);
             }
         }
@@ -53,6 +56,12 @@
         return candidates.isEmpty() ? Optional.empty() : Optional.of(cheaperOfTwo(candidates, now));
     }
 
+    private static boolean mostEjected(Collection<UpstreamLoad> upstreams, long now) {
+        long ejected =
+                upstreams.stream().filter(upstream -> upstream.ejected(now)).count();
+        return ejected * 2 > upstreams.size();
+    }
+
     private UpstreamLoad cheaperOfTwo(List<UpstreamLoad> candidates, long now) {
         int size = candidates.size();
         int first = random.nextInt(size);
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/routing/UpstreamLoad.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/routing/UpstreamLoad.java
@@ -11,12 +11,15 @@
  * @since 0.1
  */
 public final class UpstreamLoad {
+    private static final double MEAN_STEP = 0.1;
+
     private final UpstreamId upstream;
     private final DataCentreId dataCentre;
     private final LatencyEstimate latency = LatencyEstimate.create();
     private final OutlierState outlier = OutlierState.create();
     private int slots;
     private int inFlight;
+    private double meanNanos;
 
     private UpstreamLoad(UpstreamId upstream, DataCentreId dataCentre, int slots) {
         this.upstream = upstream;
@@ -110,6 +113,7 @@
     public void answered(long latencyNanos, long now) {
         inFlight--;
         latency.record(latencyNanos, now);
+        meanNanos = meanNanos == 0 ? latencyNanos : meanNanos + MEAN_STEP * (latencyNanos - meanNanos);
         outlier.succeeded();
     }
 
@@ -142,13 +146,12 @@
     }
 
     /**
-     * Returns the recent latency.
+     * Returns the mean latency of the recent answers.
      *
-     * @param now the time
-     * @return the estimate, in nanoseconds
+     * @return the mean, in nanoseconds; 0 before the first answer
      */
-    public double latencyNanos(long now) {
-        return latency.nanos(now);
+    public double meanNanos() {
+        return meanNanos;
     }
 
     /**
--- a/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/routing/ShareLendingTests.java
+++ b/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/routing/ShareLendingTests.java
@@ -30,25 +30,34 @@
     @Test
     void lendsAllToTheOnlyHostThatWantsIt() {
         ShareOwner owner = openOwner(8);
-        assertThat(owner.answer("e1", new ShareRequest(1, 0, 1), 0)).hasValue(1);
-        assertThat(owner.answer("e2", new ShareRequest(1, 0, 8), 0)).hasValue(7);
+        assertThat(owner.answer("e1", new ShareRequest(1, 0, 1, true), 0)).hasValue(1);
+        assertThat(owner.answer("e2", new ShareRequest(1, 0, 8, true), 0)).hasValue(7);
     }
 
     @Test
     void takesBackFromAHolderAboveItsFairPart() {
         ShareOwner owner = openOwner(8);
-        assertThat(owner.answer("e1", new ShareRequest(1, 0, 8), 0)).hasValue(8);
-        assertThat(owner.answer("e2", new ShareRequest(1, 0, 8), 0)).hasValue(0);
-        assertThat(owner.answer("e1", new ShareRequest(2, 8, 8), 0)).hasValue(4);
-        assertThat(owner.answer("e2", new ShareRequest(2, 0, 8), 0)).hasValue(0);
-        assertThat(owner.answer("e1", new ShareRequest(3, 4, 8), 0)).hasValue(4);
-        assertThat(owner.answer("e2", new ShareRequest(3, 0, 8), 0)).hasValue(4);
+        assertThat(owner.answer("e1", new ShareRequest(1, 0, 8, true), 0)).hasValue(8);
+        assertThat(owner.answer("e2", new ShareRequest(1, 0, 8, true), 0)).hasValue(0);
+        assertThat(owner.answer("e1", new ShareRequest(2, 8, 8, true), 0)).hasValue(4);
+        assertThat(owner.answer("e2", new ShareRequest(2, 0, 8, true), 0)).hasValue(0);
+        assertThat(owner.answer("e1", new ShareRequest(3, 4, 8, true), 0)).hasValue(4);
+        assertThat(owner.answer("e2", new ShareRequest(3, 0, 8, true), 0)).hasValue(4);
+    }
+
+    @Test
+    void servesHoldersOfItsDataCentreFirst() {
+        ShareOwner owner = openOwner(8);
+        assertThat(owner.answer("e1", new ShareRequest(1, 0, 5, true), 0)).hasValue(5);
+        assertThat(owner.answer("far", new ShareRequest(1, 0, 8, false), 0)).hasValue(3);
+        assertThat(owner.answer("e1", new ShareRequest(2, 5, 7, true), 0)).hasValue(5);
+        assertThat(owner.answer("far", new ShareRequest(2, 3, 8, false), 0)).hasValue(1);
     }
 
     @Test
     void aHolderWhoseLeaseRanOutStartsNothingAndGivesUpWhatIsLeftAfterTheHoldTime() {
         ShareHolder holder = ShareHolder.create(TERMS);
-        ShareRequest request = holder.request(OWNER, 1, 2, 0);
+        ShareRequest request = holder.request(OWNER, 1, 2, true, 0);
         holder.answered(OWNER, request.sequence(), 2, 0);
         assertThat(holder.tryStart(0)).isTrue();
         assertThat(holder.tryStart(TERMS.leaseNanos())).isFalse();
@@ -59,9 +68,9 @@
     @Test
     void aClosedOwnerOnlyConfirms() {
         ShareOwner owner = ShareOwner.create(8, TERMS);
-        assertThat(owner.answer("e2", new ShareRequest(9, 3, 8), 0)).hasValue(3);
+        assertThat(owner.answer("e2", new ShareRequest(9, 3, 8, true), 0)).hasValue(3);
         owner.open();
-        assertThat(owner.answer("e1", new ShareRequest(1, 0, 8), 0)).hasValue(4);
+        assertThat(owner.answer("e1", new ShareRequest(1, 0, 8, true), 0)).hasValue(4);
     }
 
     private static ShareOwner openOwner(int total) {
@@ -155,7 +164,7 @@
             private void ask(Host to) {
                 long sentAt = now;
                 int askedLife = life;
-                ShareRequest request = holder.request(to.id, ++sequence, random.nextInt(5), now);
+                ShareRequest request = holder.request(to.id, ++sequence, random.nextInt(5), random.nextBoolean(), now);
                 transmit(() -> to.receive(this, id + "/" + askedLife, askedLife, request, sentAt));
             }
 
