--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/placement/PlacementIndex.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/placement/PlacementIndex.java
@@ -1,6 +1,7 @@
 package dev.waxwinghead.scheduling.placement;
 
 import dev.waxwinghead.model.id.WorkerId;
+import dev.waxwinghead.model.manifest.Placement;
 import dev.waxwinghead.model.resource.Resources;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -24,6 +25,9 @@
     /** How many workers are scored by expected harm for one choice. */
     private static final int MAX_SCORED = 64;
 
+    /** How many are scored where more fit than {@link #MAX_SCORED}. */
+    private static final int SAMPLE = 24;
+
     private static final int INITIAL_SLOTS = 64;
     private static final int ROTATION_MASK = 0xffff;
 
@@ -258,6 +262,10 @@
     }
 
     private int keepLeastUsed(int found, Workload workload) {
+        Placement.Spread spreadOver = workload.placement().spreadOver();
+        if (spreadOver == Placement.Spread.NONE || spreadOver == Placement.Spread.DATA_CENTRE) {
+            return found;
+        }
         int least = Integer.MAX_VALUE;
         int kept = 0;
         for (int i = 0; i < found; i++) {
@@ -285,7 +293,7 @@
      * Scores all candidates if they are few, else an even sample that starts elsewhere each time; -1 if none will do.
      */
     private int best(int found, Workload workload, boolean insists) {
-        int scored = score.sampled() ? Math.min(found, MAX_SCORED) : found;
+        int scored = score.sampled() && found > MAX_SCORED ? SAMPLE : found;
         int best = -1;
         double least = Double.POSITIVE_INFINITY;
         rotation = (rotation + 1) & ROTATION_MASK;
