Let the policy bench tell owners what hosts give back

Cause: the bench's hosts left out asks that keep and want nothing, so owners counted those loans for 10 s more: at the end of a run 121 slots were committed with none in use. The daemon does tell its owners; only the bench did not. Conclusion: a fault of the bench, but not the only one.

--- a/waxwinghead-benchmarks/src/main/java/dev/waxwinghead/benchmarks/callers/LentSlots.java
+++ b/waxwinghead-benchmarks/src/main/java/dev/waxwinghead/benchmarks/callers/LentSlots.java
@@ -23,6 +23,7 @@
     private final ShareOwner[][] owners;
     private final List<List<Integer>> ownersOf = new ArrayList<>();
     private final long[] askedAt;
+    private final boolean[][][] lent;
     private final SplittableRandom random = new SplittableRandom(2);
     private long sequence;
 
@@ -34,6 +35,7 @@
         this.demands = new ShareDemand[scenario.hosts()][scenario.upstreams()];
         this.owners = new ShareOwner[scenario.hosts()][scenario.upstreams()];
         this.askedAt = new long[scenario.hosts()];
+        this.lent = new boolean[scenario.hosts()][scenario.hosts()][scenario.upstreams()];
         for (int upstream = 0; upstream < scenario.upstreams(); upstream++) {
             ownersOf.add(ownersOf(upstream));
             for (int host = 0; host < scenario.hosts(); host++) {
@@ -120,9 +122,11 @@
         int others = ownersOf.get(upstream).size() - (owners[host][upstream] == null ? 0 : 1);
         int want = ShareDemand.from(total, holder.limit(now), holder.limitFrom(id(owner), now), Math.max(1, others));
         ShareRequest request = holder.request(id(owner), ++sequence, want, owners[host][upstream] != null, now);
-        if (request.keep() == 0 && request.want() == 0) {
+        boolean nothing = request.keep() == 0 && request.want() == 0;
+        if (nothing && !lent[host][owner][upstream]) {
             return;
         }
+        lent[host][owner][upstream] = !nothing;
         long delay = scenario.between(scenario.dataCentreOfHost(host), scenario.dataCentreOfHost(owner));
         clock.at(
                 now + delay,
