Count a free slot only if its owner would give it to itself

Cause: an entry host took a slot of its own that nobody had been lent as free, also when the fair part left it none. The choice then fell on that upstream, the start failed, and the request went on waiting while far upstreams had slots. Ruled out: slow growth of the demand for far slots (the hosts had 11 far slots after 1 s and lost them again).

--- a/waxwinghead-benchmarks/src/main/java/dev/waxwinghead/benchmarks/callers/LentSlots.java
+++ b/waxwinghead-benchmarks/src/main/java/dev/waxwinghead/benchmarks/callers/LentSlots.java
@@ -59,7 +59,11 @@
         ShareHolder holder = holders[host][upstream];
         int limit = holder.limit(now);
         ShareOwner own = owners[host][upstream];
-        return own != null && own.free() > 0 ? Math.max(limit, holder.inUse() + 1) : limit;
+        if (own == null) {
+            return limit;
+        }
+        int offer = own.offer("e" + host, holder.inUse() + 1, true, now);
+        return Math.max(limit, limit - holder.limitFrom(id(host), now) + offer);
     }
 
     @Override
@@ -128,14 +132,16 @@
         }
         lent[host][owner][upstream] = !nothing;
         long delay = scenario.between(scenario.dataCentreOfHost(host), scenario.dataCentreOfHost(owner));
-        clock.at(
-                now + delay,
-                () -> owners[owner][upstream]
-                        .answer("e" + host, request, clock.now())
-                        .ifPresent(limit -> clock.at(clock.now() + delay, () -> {
-                            holder.answered(id(owner), request.sequence(), limit, now);
-                            onGain[host].run();
-                        })));
+        clock.at(now + delay, () -> answer(host, owner, upstream, request, now, delay));
+    }
+
+    private void answer(int host, int owner, int upstream, ShareRequest request, long sentAt, long delay) {
+        owners[owner][upstream]
+                .answer("e" + host, request, clock.now())
+                .ifPresent(limit -> clock.at(clock.now() + delay, () -> {
+                    holders[host][upstream].answered(id(owner), request.sequence(), limit, sentAt);
+                    onGain[host].run();
+                }));
     }
 
     private void takeOwn(int host, int upstream, int want, long now) {
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/shares/Shares.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/shares/Shares.java
@@ -57,13 +57,15 @@
         return open;
     }
 
-    /** Returns how much this host may have in use now, one of what it owns and nobody has among it. */
+    /** Returns how much this host may have in use now, one more of what it owns if it would give that to itself. */
     synchronized int limit(Upstream upstream, Resource resource, long now) {
         Share share = share(upstream, resource);
         int limit = share.holder.limit(now);
-        boolean more = ownership.part(upstream, resource, self) > 0
-                && owner(upstream, resource).free() > 0;
-        return more ? Math.max(limit, share.holder.inUse() + 1) : limit;
+        if (ownership.part(upstream, resource, self) == 0) {
+            return limit;
+        }
+        int offer = owner(upstream, resource).offer(self + "@" + incarnation, share.holder.inUse() + 1, true, now);
+        return Math.max(limit, limit - share.holder.limitFrom(self, now) + offer);
     }
 
     synchronized boolean tryStart(Upstream upstream, Resource resource, long now) {
@@ -126,7 +128,9 @@
         });
     }
 
-    /** Answers an ask as an owner; what is not known here is left out. */
+    /**
+     * Answers an ask as an owner; what is not known here is left out.
+     */
     synchronized Map<ShareKey, Integer> answer(
             HostId from, ShareCodec.Ask ask, Map<UpstreamId, Upstream> known, long now) {
         Map<ShareKey, Integer> limits = new LinkedHashMap<>();
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/routing/ShareOwner.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/routing/ShareOwner.java
@@ -63,7 +63,7 @@
             return OptionalInt.empty();
         }
         int others = committed() - (loan == null ? 0 : loan.committed);
-        int limit = open ? Math.min(fairPart(holder, request), total - others) : request.keep();
+        int limit = open ? Math.min(fairPart(holder, request.want(), request.near()), total - others) : request.keep();
         limit = Math.max(0, limit);
         loans.put(
                 holder,
@@ -77,39 +77,49 @@
     }
 
     /**
-     * Returns what holders may use or may still have in use.
+     * Returns the limit that a holder would be told now; nothing changes.
      *
-     * @return the sum
+     * @param holder the life of the holder's process
+     * @param want how much it would ask for
+     * @param near whether it is in the upstream's data centre
+     * @param now the time, in nanoseconds
+     * @return the limit, 0 or more; 0 while the owner is closed
      */
-    public int committed() {
-        return loans.values().stream().mapToInt(loan -> loan.committed).sum();
+    public int offer(String holder, int want, boolean near, long now) {
+        if (!open) {
+            return 0;
+        }
+        loans.values().removeIf(loan -> loan.countedUntil - now <= 0);
+        Loan loan = loans.get(holder);
+        int others = committed() - (loan == null ? 0 : loan.committed);
+        return Math.max(0, Math.min(fairPart(holder, want, near), total - others));
     }
 
     /**
-     * Returns what nobody has been lent.
+     * Returns what holders may use or may still have in use.
      *
-     * @return the number, 0 or more; 0 while the owner is closed
+     * @return the sum
      */
-    public int free() {
-        return open ? Math.max(0, total - committed()) : 0;
+    public int committed() {
+        return loans.values().stream().mapToInt(loan -> loan.committed).sum();
     }
 
-    private int fairPart(String holder, ShareRequest request) {
+    private int fairPart(String holder, int want, boolean near) {
         int left = total;
         List<Integer> wants = new ArrayList<>();
-        wants.add(request.want());
+        wants.add(want);
         for (Map.Entry<String, Loan> entry : loans.entrySet()) {
             Loan loan = entry.getValue();
             if (entry.getKey().equals(holder)) {
                 continue;
             }
-            if (loan.near == request.near()) {
+            if (loan.near == near) {
                 wants.add(loan.want);
             } else if (loan.near) {
                 left -= loan.want;
             }
         }
-        return maxMinPart(request.want(), wants, Math.max(0, left));
+        return maxMinPart(want, wants, Math.max(0, left));
     }
 
     private static int maxMinPart(int want, List<Integer> wants, int total) {
