Give back own unused slots before answering who asks

Cause: a host renewed what it lends to itself every 100 ms only, so its peak use of that time was committed. Ruled out: shorter renewals (more messages for the same effect).

--- a/waxwinghead-benchmarks/src/main/java/dev/waxwinghead/benchmarks/callers/LentSlots.java
+++ b/waxwinghead-benchmarks/src/main/java/dev/waxwinghead/benchmarks/callers/LentSlots.java
@@ -136,6 +136,7 @@
     }
 
     private void answer(int host, int owner, int upstream, ShareRequest request, long sentAt, long delay) {
+        takeOwn(owner, upstream, holders[owner][upstream].inUse(), clock.now());
         owners[owner][upstream]
                 .answer("e" + host, request, clock.now())
                 .ifPresent(limit -> clock.at(clock.now() + delay, () -> {
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/shares/Shares.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/shares/Shares.java
@@ -129,7 +129,7 @@
     }
 
     /**
-     * Answers an ask as an owner; what is not known here is left out.
+     * Answers an ask as an owner, after giving back what it does not use itself; what is not known here is left out.
      */
     synchronized Map<ShareKey, Integer> answer(
             HostId from, ShareCodec.Ask ask, Map<UpstreamId, Upstream> known, long now) {
@@ -137,6 +137,8 @@
         ask.requests().forEach((key, request) -> {
             Upstream upstream = known.get(key.upstream());
             if (upstream != null) {
+                Share own = share(upstream, key.resource());
+                takeOwn(upstream, key.resource(), own, own.holder.inUse(), now);
                 owner(upstream, key.resource())
                         .answer(from + "@" + ask.incarnation(), request, now)
                         .ifPresent(limit -> limits.put(key, limit));
