--- a/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/routing/ShareLendingTests.java
+++ b/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/routing/ShareLendingTests.java
@@ -45,6 +45,20 @@
         assertThat(owner.answer("e2", new ShareRequest(3, 0, 8, true), 0)).hasValue(4);
     }
 
+    @Test
+    void offersNoMoreThanItWouldAnswer() {
+        ShareOwner owner = openOwner(3);
+        owner.answer("e1", new ShareRequest(1, 0, 1, true), 0);
+        owner.answer("e2", new ShareRequest(1, 0, 1, true), 0);
+        owner.answer("e3", new ShareRequest(1, 0, 1, true), 0);
+        owner.answer("e2", new ShareRequest(2, 0, 1, true), 0);
+
+        int offer = owner.offer("e1", 2, true, 0);
+
+        assertThat(offer).isEqualTo(1);
+        assertThat(owner.answer("e1", new ShareRequest(2, 1, 2, true), 0)).hasValue(offer);
+    }
+
     @Test
     void servesHoldersOfItsDataCentreFirst() {
         ShareOwner owner = openOwner(8);
