--- a/waxwinghead-benchmarks/src/main/java/dev/waxwinghead/benchmarks/coordination/ReplicatedLogBench.java
+++ b/waxwinghead-benchmarks/src/main/java/dev/waxwinghead/benchmarks/coordination/ReplicatedLogBench.java
@@ -25,7 +25,7 @@
     private static final int FAILOVER_ROUNDS = 15;
     private static final int IN_FORCE_CHANGES = 2_300;
     private static final int IN_FORCE_GAP_MILLIS = 4;
-    private static final int STATE_ENTRIES = 50_000;
+    private static final int DEFAULT_STATE_ENTRIES = 50_000;
     private static final long NO_SNAPSHOTS = Long.MAX_VALUE;
     private static final Duration FAILOVER_BOUND = Duration.ofSeconds(3);
     private static final Duration IN_FORCE_BOUND = Duration.ofSeconds(2);
@@ -38,7 +38,7 @@
     /**
      * Runs one measurement.
      *
-     * @param arguments its name
+     * @param arguments its name; for {@code state} also how many entries to write, twice as many as are kept
      * @throws Exception if it can't be run
      */
     public static void main(String[] arguments) throws Exception {
@@ -46,7 +46,7 @@
             case "failover" -> failover();
             case "throughput" -> throughput();
             case "in-force" -> inForce();
-            case "state" -> state();
+            case "state" -> state(arguments.length > 1 ? Integer.parseInt(arguments[1]) : DEFAULT_STATE_ENTRIES);
             default -> throw new IllegalArgumentException("unknown measurement " + arguments[0]);
         }
         System.exit(passedBound ? 1 : 0);
@@ -144,15 +144,13 @@
         print("from the proposal until in force on each of 9 hosts, us", micros, IN_FORCE_BOUND);
     }
 
-    private static void state() throws IOException {
-        try (BenchGroup group = BenchGroup.start(1, 0, STATE_ENTRIES)) {
+    private static void state(int entries) throws IOException {
+        try (BenchGroup group = BenchGroup.start(1, 0, entries)) {
             Member leader = group.leader();
             long before = usedBytes();
-            run(leader, STATE_ENTRIES / 2, 256);
-            OUT.printf(
-                    "log and state in memory, B per 1,000 entries: %d%n",
-                    (usedBytes() - before) * 2_000 / STATE_ENTRIES);
-            run(leader, STATE_ENTRIES, 256);
+            run(leader, entries / 2, 256);
+            OUT.printf("log and state in memory, B per 1,000 entries: %d%n", (usedBytes() - before) * 2_000L / entries);
+            run(leader, entries, 256);
             group.await(() -> leader.node().counters().snapshotsTaken() > 0);
             HostId host = leader.host();
             group.stopHost(host);
