Let Resources say how far they are from fitting, in one place

Cause: DataCentreChoice and PlacementReason each held the same shortfall and the same words for amounts. After: Resources.shortfall and describe; TasksPartTests, DataCentreSchedulerTests and TaskSectionTests pass, 16 in all; the whole check was not run again after this change. Conclusion: same behaviour, same messages.

--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/tasks/DataCentreChoice.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/tasks/DataCentreChoice.java
@@ -48,8 +48,8 @@
         if (nearest == null) {
             return Optional.of("its selector matches none of " + workers + " workers");
         }
-        return Optional.of("it needs " + text(owner.resources()) + "; the nearest worker has "
-                + text(nearest.capacity()) + " in all");
+        return Optional.of("it needs " + owner.resources().describe() + "; the nearest worker has "
+                + nearest.capacity().describe() + " in all");
     }
 
     /**
@@ -104,21 +104,6 @@
     }
 
     private static CapacityReport.Group nearer(Resources need, CapacityReport.Group one, CapacityReport.Group other) {
-        return one == null || missing(need, other.capacity()) < missing(need, one.capacity()) ? other : one;
-    }
-
-    private static double missing(Resources need, Resources capacity) {
-        return missing(need.millicores(), capacity.millicores())
-                + missing(need.memoryBytes(), capacity.memoryBytes())
-                + missing(need.accelerators(), capacity.accelerators());
-    }
-
-    private static double missing(long need, long capacity) {
-        return need <= capacity ? 0 : (double) (need - capacity) / need;
-    }
-
-    private static String text(Resources resources) {
-        return resources.millicores() + " millicores, " + resources.memoryBytes() + " bytes and "
-                + resources.accelerators() + " accelerators";
+        return one == null || need.shortfall(other.capacity()) < need.shortfall(one.capacity()) ? other : one;
     }
 }
--- a/waxwinghead-model/src/main/java/dev/waxwinghead/model/resource/Resources.java
+++ b/waxwinghead-model/src/main/java/dev/waxwinghead/model/resource/Resources.java
@@ -73,6 +73,31 @@
                 && accelerators <= available.accelerators;
     }
 
+    /**
+     * Returns how far these amounts are from fitting into the other amounts.
+     *
+     * @param available the amounts to fit into
+     * @return the sum over all amounts of the missing part of each, from 0 (fits) to 3
+     */
+    public double shortfall(Resources available) {
+        return shortfall(millicores, available.millicores)
+                + shortfall(memoryBytes, available.memoryBytes)
+                + shortfall(accelerators, available.accelerators);
+    }
+
+    /**
+     * Returns the amounts in words.
+     *
+     * @return the amounts with their units, never null
+     */
+    public String describe() {
+        return millicores + " millicores, " + memoryBytes + " bytes and " + accelerators + " accelerators";
+    }
+
+    private static double shortfall(long need, long available) {
+        return need <= available ? 0 : (double) (need - available) / need;
+    }
+
     private static void checkNotNegative(long amount, String name) {
         if (amount < 0) {
             throw WaxwingheadException.of(
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/placement/PlacementReason.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/placement/PlacementReason.java
@@ -1,6 +1,5 @@
 package dev.waxwinghead.scheduling.placement;
 
-import dev.waxwinghead.model.resource.Resources;
 import java.util.List;
 import java.util.Optional;
 
@@ -35,7 +34,7 @@
         for (WorkerSlot slot : slots) {
             if (matches(workload, slot)) {
                 double missing =
-                        missing(workload.resources(), slot.description().capacity());
+                        workload.resources().shortfall(slot.description().capacity());
                 if (missing == 0) {
                     return Optional.empty();
                 }
@@ -48,9 +47,9 @@
         if (nearest == null) {
             return Optional.of("its selector matches none of " + slots.size() + " workers");
         }
-        return Optional.of("it needs " + text(workload.resources()) + ", and the nearest worker "
+        return Optional.of("it needs " + workload.resources().describe() + ", and the nearest worker "
                 + nearest.description().id() + " has "
-                + text(nearest.description().capacity()) + " in all");
+                + nearest.description().capacity().describe() + " in all");
     }
 
     private static boolean fitsWhenIdle(Workload workload, WorkerSlot slot) {
@@ -61,19 +60,4 @@
     private static boolean matches(Workload workload, WorkerSlot slot) {
         return workload.placement().workers().matches(slot.description().labels());
     }
-
-    private static double missing(Resources need, Resources capacity) {
-        return missing(need.millicores(), capacity.millicores())
-                + missing(need.memoryBytes(), capacity.memoryBytes())
-                + missing(need.accelerators(), capacity.accelerators());
-    }
-
-    private static double missing(long need, long capacity) {
-        return need <= capacity ? 0 : (double) (need - capacity) / need;
-    }
-
-    private static String text(Resources resources) {
-        return resources.millicores() + " millicores, " + resources.memoryBytes() + " bytes and "
-                + resources.accelerators() + " accelerators";
-    }
 }
