--- a/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/consensus/Leadership.java
+++ b/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/consensus/Leadership.java
@@ -80,6 +80,12 @@
                 && progress.matchIndex + state.settings.promotionLag() >= state.commitIndex;
     }
 
+    /** Returns for how long a member has been silent, in nanoseconds. */
+    long silence(ReplicaId replica) {
+        Progress progress = members.get(replica);
+        return progress == null ? 0 : state.now - progress.lastHeard;
+    }
+
     /** Sends what the events since the last call left to send. */
     void flush() {
         if (!state.isLeader()) {
--- a/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/consensus/Membership.java
+++ b/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/consensus/Membership.java
@@ -89,6 +89,13 @@
         return new Membership(group, next, removed);
     }
 
+    /** Returns the membership without a learner, which may join again. */
+    Membership dropping(ReplicaId learner) {
+        List<Member> next = new ArrayList<>(members);
+        next.removeIf(m -> m.replica().equals(learner));
+        return new Membership(group, next, removed);
+    }
+
     Membership without(ReplicaId replica) {
         List<Member> next = new ArrayList<>(members);
         next.removeIf(m -> m.replica().equals(replica));
--- a/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/consensus/MembershipChanges.java
+++ b/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/consensus/MembershipChanges.java
@@ -3,10 +3,21 @@
 import dev.waxwinghead.coordination.log.LogStatus.Member;
 import dev.waxwinghead.coordination.storage.LogEntry;
 import dev.waxwinghead.model.id.HostId;
+import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 
 /** Changes the membership, one member at a time. */
 final class MembershipChanges {
+    /** How long a voter may be silent before another member gets its vote: longer than an election takes. */
+    private static final long SILENT_VOTER_NANOS = TimeUnit.SECONDS.toNanos(3);
+
+    /** How long a learner may be silent before it is dropped. */
+    private static final long DROPPED_LEARNER_NANOS = TimeUnit.SECONDS.toNanos(60);
+
+    /** Within which time a learner must have answered to get a vote: a few heartbeats. */
+    private static final long PROMPT_NANOS = TimeUnit.MILLISECONDS.toNanos(800);
+
     private final CoreState state;
     private final Leadership leadership;
 
@@ -52,6 +63,55 @@
         return MembershipOutcome.PENDING;
     }
 
+    /**
+     * Brings the number of voters to the target: a learner that has caught up gets a vote where one is missing or where
+     * a voter has fallen silent, and the silent voter loses its own. A learner that stays silent is dropped; it may
+     * join again.
+     */
+    void balance(int target) {
+        if (!state.isLeader() || !settled()) {
+            return;
+        }
+        Membership membership = state.membership();
+        Optional<Member> silentVoter = membership.voters().stream()
+                .filter(voter -> isSilent(voter, SILENT_VOTER_NANOS))
+                .findFirst();
+        Optional<Member> spare = membership.members().stream()
+                .filter(member -> !member.voter() && isPromotable(member))
+                .findFirst();
+        int voters = membership.voters().size();
+        if (spare.isPresent() && (voters < target || (voters == target && silentVoter.isPresent()))) {
+            propose(membership.with(spare.get().withVote()));
+        } else if (voters > target) {
+            silentVoter
+                    .or(() -> lastOther(membership.voters()))
+                    .ifPresent(voter -> propose(membership.with(voter.withoutVote())));
+        } else {
+            dropSilentLearner(membership);
+        }
+    }
+
+    private void dropSilentLearner(Membership membership) {
+        membership.members().stream()
+                .filter(member -> !member.voter() && isSilent(member, DROPPED_LEARNER_NANOS))
+                .findFirst()
+                .ifPresent(member -> propose(membership.dropping(member.replica())));
+    }
+
+    private Optional<Member> lastOther(List<Member> voters) {
+        return voters.stream()
+                .filter(voter -> !voter.replica().equals(state.self))
+                .reduce((first, second) -> second);
+    }
+
+    private boolean isSilent(Member member, long bound) {
+        return !member.replica().equals(state.self) && leadership.silence(member.replica()) > bound;
+    }
+
+    private boolean isPromotable(Member member) {
+        return leadership.isCaughtUp(member.replica()) && leadership.silence(member.replica()) < PROMPT_NANOS;
+    }
+
     /** Tells whether the last change is committed and so the next one may start. */
     private boolean settled() {
         return leadership.knowsCommit() && state.memberships.currentIndex() <= state.commitIndex;
--- a/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/consensus/ReplicaCore.java
+++ b/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/consensus/ReplicaCore.java
@@ -172,6 +172,15 @@
         return changes.remove(host);
     }
 
+    /**
+     * Lets a leader move the votes to members that have caught up and answer, one change at a time.
+     *
+     * @param target how many members are to vote
+     */
+    public void balanceVoters(int target) {
+        changes.balance(target);
+    }
+
     /**
      * Takes a state of the state machine as the newest snapshot and forgets old entries.
      *
--- a/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/log/LogStatus.java
+++ b/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/log/LogStatus.java
@@ -56,5 +56,23 @@
      * @param address the address of its peer port, as {@code ip:port}
      * @param voter whether it votes
      */
-    public record Member(HostId host, ReplicaId replica, String address, boolean voter) {}
+    public record Member(HostId host, ReplicaId replica, String address, boolean voter) {
+        /**
+         * Returns this member with a vote.
+         *
+         * @return the member, never null
+         */
+        public Member withVote() {
+            return new Member(host, replica, address, true);
+        }
+
+        /**
+         * Returns this member without a vote.
+         *
+         * @return the member, never null
+         */
+        public Member withoutVote() {
+            return new Member(host, replica, address, false);
+        }
+    }
 }
--- a/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/peer/PeerChannel.java
+++ b/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/peer/PeerChannel.java
@@ -17,5 +17,7 @@
     /** Capacity reports and requests between schedulers. */
     SCHEDULERS,
     /** The revision that each entry host has in force. */
-    STATUS
+    STATUS,
+    /** Calls about submitted jobs, handed to the acting scheduler. */
+    JOBS
 }
--- a/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/replica/Joiner.java
+++ b/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/replica/Joiner.java
@@ -60,7 +60,7 @@
         this.network = network;
         this.link = link;
         this.ticker = ticker;
-        this.wanted = new Member(settings.host(), self, settings.address(), settings.votes());
+        this.wanted = new Member(settings.host(), self, settings.address(), settings.asksForVote());
         this.roundDeadline = ticker.nanos();
     }
 
@@ -69,6 +69,9 @@
             return;
         }
         roundDeadline = now + settings.joinInterval().toNanos();
+        if (settings.voting().automatic()) {
+            core.balanceVoters(settings.voting().target());
+        }
         if (isMemberAsWanted() && !silentForLong(now)) {
             return;
         }
@@ -81,8 +84,11 @@
     }
 
     private boolean isMemberAsWanted() {
-        return core.membershipCommitted()
-                && core.membership().member(wanted.replica()).equals(Optional.of(wanted));
+        Optional<Member> present = core.membership().member(wanted.replica());
+        if (settings.voting().automatic()) {
+            present = present.map(Member::withoutVote);
+        }
+        return core.membershipCommitted() && present.equals(Optional.of(wanted));
     }
 
     private boolean silentForLong(long now) {
@@ -91,7 +97,8 @@
     }
 
     private boolean mayForm() {
-        return !groupSeen
+        return settings.voting().mayForm()
+                && !groupSeen
                 && !core.hasGroup()
                 && core.lastIndex() == 0
                 && settings.host().equals(Collections.min(settings.initialVoters()));
@@ -126,7 +133,7 @@
             return;
         }
         List<Member> members = new ArrayList<>();
-        members.add(wanted);
+        members.add(wanted.withVote());
         for (HostId voter : settings.initialVoters()) {
             HelloAnswer hello = emptyPeers.get(voter);
             if (hello != null) {
--- a/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/tcp/ChannelCodes.java
+++ b/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/tcp/ChannelCodes.java
@@ -16,6 +16,7 @@
             case SHARES -> 4;
             case SCHEDULERS -> 5;
             case STATUS -> 6;
+            case JOBS -> 7;
         };
     }
 
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/HttpServerProperties.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/HttpServerProperties.java
@@ -1,7 +1,7 @@
 package dev.waxwinghead.daemon;
 
 /** Sets the bounds of the JDK's HTTP server and client, which are system properties. */
-final class HttpServerProperties {
+public final class HttpServerProperties {
     private static final int MAX_CONNECTIONS = 10_000;
     private static final int MAX_IDLE_CONNECTIONS = 2_000;
     private static final int IDLE_SECONDS = 60;
@@ -11,7 +11,7 @@
     private HttpServerProperties() {}
 
     /** Sets the properties that the command line left unset. To be called before any server is made. */
-    static void apply() {
+    public static void apply() {
         set("sun.net.httpserver.nodelay", "true");
         set("jdk.httpserver.maxConnections", Integer.toString(MAX_CONNECTIONS));
         set("sun.net.httpserver.maxIdleConnections", Integer.toString(MAX_IDLE_CONNECTIONS));
--- /dev/null
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/classes/JobClassSection.java
@@ -0,0 +1,76 @@
+package dev.waxwinghead.daemon.classes;
+
+import dev.waxwinghead.daemon.log.Event;
+import dev.waxwinghead.daemon.state.SectionId;
+import dev.waxwinghead.daemon.state.StateSection;
+import java.util.Optional;
+
+/** Holds the newest document of job classes. */
+public final class JobClassSection implements StateSection {
+    private static final byte[] NOTHING = {};
+
+    private volatile JobClassDirectory current;
+
+    private JobClassSection() {}
+
+    /**
+     * Returns a section without a document.
+     *
+     * @return the section, never null
+     */
+    public static JobClassSection create() {
+        return new JobClassSection();
+    }
+
+    /**
+     * Returns the newest document that this host has applied.
+     *
+     * @return the directory of the document, if there is one
+     */
+    public Optional<JobClassDirectory> current() {
+        return Optional.ofNullable(current);
+    }
+
+    @Override
+    public SectionId id() {
+        return SectionId.JOB_CLASSES;
+    }
+
+    @Override
+    public byte[] apply(long index, byte[] command) {
+        JobClassDocument document = JobClassCodec.unpack(command);
+        ReplaceResult.Outcome outcome = decide(document);
+        if (outcome == ReplaceResult.Outcome.REPLACED) {
+            current = JobClassDirectory.of(document);
+        }
+        long version = current.document().version();
+        Event.of("job-classes-" + outcome.name().toLowerCase(java.util.Locale.ROOT))
+                .with("version", document.version())
+                .with("inForce", version)
+                .with("digest", document.digest())
+                .with("index", index)
+                .write();
+        return JobClassCodec.pack(new ReplaceResult(outcome, version));
+    }
+
+    private ReplaceResult.Outcome decide(JobClassDocument document) {
+        if (current == null || document.version() > current.document().version()) {
+            return ReplaceResult.Outcome.REPLACED;
+        }
+        if (document.version() < current.document().version()) {
+            return ReplaceResult.Outcome.SUPERSEDED;
+        }
+        boolean same = document.digest().equals(current.document().digest());
+        return same ? ReplaceResult.Outcome.REPEATED : ReplaceResult.Outcome.CONFLICT;
+    }
+
+    @Override
+    public byte[] snapshot() {
+        return current == null ? NOTHING : JobClassCodec.pack(current.document());
+    }
+
+    @Override
+    public void restore(byte[] snapshot) {
+        current = snapshot.length == 0 ? null : JobClassDirectory.of(JobClassCodec.unpack(snapshot));
+    }
+}
--- /dev/null
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/codec/package-info.java
@@ -0,0 +1,2 @@
+/** Helpers to write and read MessagePack. */
+package dev.waxwinghead.daemon.codec;
--- /dev/null
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/EngineEvents.java
@@ -0,0 +1,114 @@
+package dev.waxwinghead.daemon.jobs;
+
+import dev.waxwinghead.daemon.log.Event;
+import dev.waxwinghead.scheduling.job.JobRecord;
+import dev.waxwinghead.scheduling.job.RunKey;
+import dev.waxwinghead.scheduling.job.SchedulerEvents;
+import dev.waxwinghead.scheduling.job.WorkerLife;
+import dev.waxwinghead.scheduling.job.WorkerReport;
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.MeterRegistry;
+import io.micrometer.core.instrument.Timer;
+import java.time.Duration;
+import java.util.Locale;
+
+/** Turns the scheduler's decisions into log lines and counters. */
+final class EngineEvents implements SchedulerEvents {
+    private final MeterRegistry meters;
+    private final Counter starts;
+    private final Counter stops;
+    private final Counter latereports;
+
+    EngineEvents(MeterRegistry meters) {
+        this.meters = meters;
+        this.starts = meters.counter("waxwinghead.job.task.starts");
+        this.stops = meters.counter("waxwinghead.job.task.stops");
+        this.latereports = meters.counter("waxwinghead.job.reports.late");
+    }
+
+    @Override
+    public void workerSeen(WorkerReport report) {
+        Event.of("worker-seen")
+                .with("worker", report.life().worker())
+                .with("life", report.life().startedEpochMillis())
+                .with("service", report.service())
+                .with("address", report.address())
+                .with("running", report.running().size())
+                .write();
+    }
+
+    @Override
+    public void workerGone(WorkerLife life, String reason) {
+        Event.of("worker-gone")
+                .with("worker", life.worker())
+                .with("life", life.startedEpochMillis())
+                .with("reason", reason)
+                .write();
+    }
+
+    @Override
+    public void reportPassedOver(WorkerReport report) {
+        latereports.increment();
+        Event.of("report-passed-over")
+                .with("worker", report.life().worker())
+                .with("life", report.life().startedEpochMillis())
+                .with("sequence", report.sequence())
+                .write();
+    }
+
+    @Override
+    public void starting(RunKey run, WorkerLife worker, long epoch) {
+        starts.increment();
+        Event.of("task-start")
+                .with("job", run.task().job())
+                .with("task", run.task())
+                .with("attempt", run.attempt())
+                .with("worker", worker.worker())
+                .with("epoch", epoch)
+                .write();
+    }
+
+    @Override
+    public void stopping(RunKey run, WorkerLife worker, String reason) {
+        stops.increment();
+        Event.of("task-stop")
+                .with("job", run.task().job())
+                .with("task", run.task())
+                .with("attempt", run.attempt())
+                .with("worker", worker.worker())
+                .with("reason", reason)
+                .write();
+    }
+
+    @Override
+    public void ended(WorkerReport.EndedRun end, WorkerLife worker) {
+        String how = end.end().name().toLowerCase(Locale.ROOT);
+        meters.counter("waxwinghead.job.task.ends", "how", how).increment();
+        Event.of("task-end")
+                .with("job", end.run().task().job())
+                .with("task", end.run().task())
+                .with("attempt", end.run().attempt())
+                .with("worker", worker.worker())
+                .with("how", how)
+                .write();
+    }
+
+    @Override
+    public void jobEnded(JobRecord job) {
+        long millis = Math.max(0, System.currentTimeMillis() - job.acceptedEpochMillis());
+        String state = job.state().name().toLowerCase(Locale.ROOT);
+        Timer.builder("waxwinghead.job.duration")
+                .tag("class", job.terms().jobClass().value())
+                .tag("state", state)
+                .publishPercentileHistogram()
+                .register(meters)
+                .record(Duration.ofMillis(millis));
+        Event.of("job-end")
+                .with("job", job.id())
+                .with("class", job.terms().jobClass())
+                .with("state", state)
+                .with("millis", millis)
+                .with("objectiveMillis", job.terms().objectiveMillis(job.submission()))
+                .write();
+    }
+}
--- /dev/null
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobCallCodec.java
@@ -0,0 +1,96 @@
+package dev.waxwinghead.daemon.jobs;
+
+import dev.waxwinghead.daemon.codec.Packing;
+import dev.waxwinghead.model.id.HostId;
+import dev.waxwinghead.model.id.JobId;
+import dev.waxwinghead.scheduling.job.JobState;
+import dev.waxwinghead.scheduling.job.JobSubmission;
+import java.io.IOException;
+import java.util.Optional;
+import org.msgpack.core.MessageUnpacker;
+
+/** Writes and reads calls about jobs and their answers as MessagePack. */
+final class JobCallCodec {
+    private static final int SUBMIT = 1;
+    private static final int READ = 2;
+    private static final int CANCEL = 3;
+    private static final int ACCEPTED = 1;
+    private static final int KNOWN = 2;
+    private static final int ABSENT = 3;
+    private static final int QUEUED = 4;
+    private static final int NOT_ACTING = 5;
+
+    /** Stands for the id of a submitted job, which follows from its target. */
+    private static final JobId UNRESOLVED = JobId.of("unresolved");
+
+    private JobCallCodec() {}
+
+    static byte[] pack(JobCall call) {
+        return Packing.pack(packer -> {
+            packer.packInt(type(call));
+            packer.packString(call.target().host()).packString(call.target().path());
+            if (call instanceof JobCall.Submit submit) {
+                JobCodec.packSubmission(
+                        packer, new JobSubmission(UNRESOLVED, submit.payload(), submit.steps(), submit.schedule()));
+            }
+        });
+    }
+
+    static JobCall unpackCall(byte[] bytes) {
+        return Packing.unpack(bytes, JobCallCodec::unpackCall);
+    }
+
+    static byte[] pack(JobAnswer answer) {
+        return Packing.pack(packer -> {
+            if (answer instanceof JobAnswer.Accepted) {
+                packer.packInt(ACCEPTED);
+            } else if (answer instanceof JobAnswer.Known known) {
+                packer.packInt(KNOWN).packInt(known.state().code());
+            } else if (answer instanceof JobAnswer.Absent) {
+                packer.packInt(ABSENT);
+            } else if (answer instanceof JobAnswer.Queued queued) {
+                packer.packInt(QUEUED).packInt(queued.jobs());
+            } else if (answer instanceof JobAnswer.NotActing notActing) {
+                packer.packInt(NOT_ACTING);
+                Packing.optional(packer, notActing.leader().orElse(null));
+            }
+        });
+    }
+
+    static JobAnswer unpackAnswer(byte[] bytes) {
+        return Packing.unpack(bytes, unpacker -> {
+            int type = unpacker.unpackInt();
+            return switch (type) {
+                case ACCEPTED -> new JobAnswer.Accepted();
+                case KNOWN -> new JobAnswer.Known(JobState.ofCode(unpacker.unpackInt()));
+                case ABSENT -> new JobAnswer.Absent();
+                case QUEUED -> new JobAnswer.Queued(unpacker.unpackInt());
+                case NOT_ACTING ->
+                    new JobAnswer.NotActing(
+                            Optional.ofNullable(Packing.optional(unpacker)).map(HostId::of));
+                default -> throw new IOException("unknown answer " + type);
+            };
+        });
+    }
+
+    private static int type(JobCall call) {
+        if (call instanceof JobCall.Submit) {
+            return SUBMIT;
+        }
+        return call instanceof JobCall.Read ? READ : CANCEL;
+    }
+
+    private static JobCall unpackCall(MessageUnpacker unpacker) throws IOException {
+        int type = unpacker.unpackInt();
+        JobTarget target = new JobTarget(unpacker.unpackString(), unpacker.unpackString());
+        return switch (type) {
+            case SUBMIT -> {
+                JobSubmission submission = JobCodec.unpackSubmission(unpacker);
+                yield new JobCall.Submit(target, submission.payload(), submission.steps(), submission.schedule());
+            }
+            case READ -> new JobCall.Read(target);
+            case CANCEL -> new JobCall.Cancel(target);
+            default -> throw new IOException("unknown call " + type);
+        };
+    }
+}
--- /dev/null
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobCodec.java
@@ -0,0 +1,212 @@
+package dev.waxwinghead.daemon.jobs;
+
+import dev.waxwinghead.daemon.classes.JobClassCodec;
+import dev.waxwinghead.daemon.codec.Packing;
+import dev.waxwinghead.model.id.HostId;
+import dev.waxwinghead.model.id.JobId;
+import dev.waxwinghead.model.id.WorkerId;
+import dev.waxwinghead.scheduling.job.JobCommand;
+import dev.waxwinghead.scheduling.job.JobOutcome;
+import dev.waxwinghead.scheduling.job.JobSchedule;
+import dev.waxwinghead.scheduling.job.JobStep;
+import dev.waxwinghead.scheduling.job.JobSubmission;
+import dev.waxwinghead.scheduling.job.JobTransition;
+import dev.waxwinghead.scheduling.job.RunEnd;
+import dev.waxwinghead.scheduling.job.RunKey;
+import dev.waxwinghead.scheduling.job.TaskKey;
+import dev.waxwinghead.scheduling.job.WorkerLife;
+import java.io.IOException;
+import java.util.List;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessageUnpacker;
+
+/** Writes and reads commands to the job table as MessagePack. */
+final class JobCodec {
+    private static final int ACQUIRE = 1;
+    private static final int ACCEPT = 2;
+    private static final int CANCEL = 3;
+    private static final int ADVANCE = 4;
+    private static final int STARTED = 1;
+    private static final int ENDED = 2;
+    private static final int FORGOTTEN = 3;
+
+    private static final int CHECKPOINTS = 1;
+    private static final int GANG = 2;
+    private static final int SAME_RACK = 4;
+    private static final int SPECULATIVE = 8;
+    private static final int LASTING = 16;
+    private static final int BEST_EFFORT = 32;
+
+    private JobCodec() {}
+
+    static byte[] pack(JobCommand command) {
+        return Packing.pack(packer -> packCommand(packer, command));
+    }
+
+    static JobCommand unpack(byte[] bytes) {
+        return Packing.unpack(bytes, JobCodec::unpackCommand);
+    }
+
+    static byte[] pack(JobOutcome outcome) {
+        return new byte[] {(byte) outcome.code()};
+    }
+
+    static JobOutcome unpackOutcome(byte[] bytes) {
+        return JobOutcome.ofCode(bytes[0]);
+    }
+
+    static void packAccept(MessageBufferPacker packer, JobCommand.Accept accept) throws IOException {
+        packSubmission(packer, accept.submission());
+        JobClassCodec.packTerms(packer, accept.terms());
+        packer.packLong(accept.acceptedEpochMillis());
+    }
+
+    static JobCommand.Accept unpackAccept(MessageUnpacker unpacker) throws IOException {
+        return new JobCommand.Accept(
+                unpackSubmission(unpacker), JobClassCodec.unpackTerms(unpacker), unpacker.unpackLong());
+    }
+
+    static void packSubmission(MessageBufferPacker packer, JobSubmission submission) throws IOException {
+        packer.packString(submission.id().value());
+        packer.packString(submission.payload());
+        Packing.list(packer, submission.steps(), JobCodec::packStep);
+        packer.packInt(submission.schedule().occurrences());
+        packer.packLong(submission.schedule().startEpochMillis());
+        packer.packLong(submission.schedule().intervalMillis());
+    }
+
+    static JobSubmission unpackSubmission(MessageUnpacker unpacker) throws IOException {
+        return new JobSubmission(
+                JobId.of(unpacker.unpackString()),
+                unpacker.unpackString(),
+                Packing.list(unpacker, JobCodec::unpackStep),
+                new JobSchedule(unpacker.unpackInt(), unpacker.unpackLong(), unpacker.unpackLong()));
+    }
+
+    static void packTask(MessageBufferPacker packer, TaskKey task) throws IOException {
+        packer.packString(task.job().value());
+        packer.packInt(task.occurrence()).packInt(task.step()).packInt(task.index());
+    }
+
+    static TaskKey unpackTask(MessageUnpacker unpacker) throws IOException {
+        return new TaskKey(
+                JobId.of(unpacker.unpackString()), unpacker.unpackInt(), unpacker.unpackInt(), unpacker.unpackInt());
+    }
+
+    static void packLife(MessageBufferPacker packer, WorkerLife life) throws IOException {
+        packer.packString(life.worker().value()).packLong(life.startedEpochMillis());
+    }
+
+    static WorkerLife unpackLife(MessageUnpacker unpacker) throws IOException {
+        return new WorkerLife(WorkerId.of(unpacker.unpackString()), unpacker.unpackLong());
+    }
+
+    private static void packCommand(MessageBufferPacker packer, JobCommand command) throws IOException {
+        if (command instanceof JobCommand.Acquire acquire) {
+            packer.packInt(ACQUIRE).packString(acquire.host().value());
+        } else if (command instanceof JobCommand.Accept accept) {
+            packer.packInt(ACCEPT);
+            packAccept(packer, accept);
+        } else if (command instanceof JobCommand.Cancel cancel) {
+            packer.packInt(CANCEL).packString(cancel.job().value());
+        } else if (command instanceof JobCommand.Advance advance) {
+            packer.packInt(ADVANCE).packLong(advance.epoch());
+            Packing.list(packer, advance.transitions(), JobCodec::packTransition);
+        }
+    }
+
+    private static JobCommand unpackCommand(MessageUnpacker unpacker) throws IOException {
+        int type = unpacker.unpackInt();
+        return switch (type) {
+            case ACQUIRE -> new JobCommand.Acquire(HostId.of(unpacker.unpackString()));
+            case ACCEPT -> unpackAccept(unpacker);
+            case CANCEL -> new JobCommand.Cancel(JobId.of(unpacker.unpackString()));
+            case ADVANCE ->
+                new JobCommand.Advance(unpacker.unpackLong(), Packing.list(unpacker, JobCodec::unpackTransition));
+            default -> throw new IOException("unknown command " + type);
+        };
+    }
+
+    private static void packTransition(MessageBufferPacker packer, JobTransition transition) throws IOException {
+        if (transition instanceof JobTransition.Started started) {
+            packer.packInt(STARTED);
+            packRun(packer, started.run());
+            packLife(packer, started.worker());
+        } else if (transition instanceof JobTransition.Ended ended) {
+            packer.packInt(ENDED);
+            packRun(packer, ended.run());
+            packer.packInt(ended.end().code()).packString(ended.checkpoint());
+        } else if (transition instanceof JobTransition.Forgotten forgotten) {
+            packer.packInt(FORGOTTEN).packString(forgotten.job().value());
+        }
+    }
+
+    private static JobTransition unpackTransition(MessageUnpacker unpacker) throws IOException {
+        int type = unpacker.unpackInt();
+        return switch (type) {
+            case STARTED -> new JobTransition.Started(unpackRun(unpacker), unpackLife(unpacker));
+            case ENDED ->
+                new JobTransition.Ended(
+                        unpackRun(unpacker), RunEnd.ofCode(unpacker.unpackInt()), unpacker.unpackString());
+            case FORGOTTEN -> new JobTransition.Forgotten(JobId.of(unpacker.unpackString()));
+            default -> throw new IOException("unknown transition " + type);
+        };
+    }
+
+    private static void packRun(MessageBufferPacker packer, RunKey run) throws IOException {
+        packTask(packer, run.task());
+        packer.packInt(run.attempt());
+    }
+
+    private static RunKey unpackRun(MessageUnpacker unpacker) throws IOException {
+        return new RunKey(unpackTask(unpacker), unpacker.unpackInt());
+    }
+
+    private static void packStep(MessageBufferPacker packer, JobStep step) throws IOException {
+        packer.packInt(step.count());
+        Packing.resources(packer, step.need());
+        packer.packLong(step.estimateMillis());
+        Packing.list(packer, step.after(), MessageBufferPacker::packInt);
+        packer.packInt(flags(step));
+        packer.packString(step.requiredLabel());
+        packer.packString(step.dataRack());
+        packer.packInt(step.maxPerWorker());
+        packer.packString(step.image());
+        packer.packLong(step.targetMillis());
+        packer.packInt(step.maxUnavailable());
+    }
+
+    private static int flags(JobStep step) {
+        return (step.checkpoints() ? CHECKPOINTS : 0)
+                | (step.gang() ? GANG : 0)
+                | (step.sameRack() ? SAME_RACK : 0)
+                | (step.speculative() ? SPECULATIVE : 0)
+                | (step.lasting() ? LASTING : 0)
+                | (step.bestEffort() ? BEST_EFFORT : 0);
+    }
+
+    private static JobStep unpackStep(MessageUnpacker unpacker) throws IOException {
+        int count = unpacker.unpackInt();
+        var need = Packing.resources(unpacker);
+        long estimateMillis = unpacker.unpackLong();
+        List<Integer> after = Packing.list(unpacker, MessageUnpacker::unpackInt);
+        int flags = unpacker.unpackInt();
+        return new JobStep(
+                count,
+                need,
+                estimateMillis,
+                after,
+                (flags & CHECKPOINTS) != 0,
+                (flags & GANG) != 0,
+                (flags & SAME_RACK) != 0,
+                unpacker.unpackString(),
+                unpacker.unpackString(),
+                unpacker.unpackInt(),
+                (flags & SPECULATIVE) != 0,
+                (flags & LASTING) != 0,
+                unpacker.unpackString(),
+                unpacker.unpackLong(),
+                (flags & BEST_EFFORT) != 0,
+                unpacker.unpackInt());
+    }
+}
--- /dev/null
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobHost.java
@@ -0,0 +1,220 @@
+package dev.waxwinghead.daemon.jobs;
+
+import dev.waxwinghead.coordination.journal.FileReplicaStorage;
+import dev.waxwinghead.coordination.log.LogStatus;
+import dev.waxwinghead.coordination.peer.PeerChannel;
+import dev.waxwinghead.coordination.replica.ReplicaNode;
+import dev.waxwinghead.coordination.replica.ReplicaSettings;
+import dev.waxwinghead.coordination.storage.ReplicaStorage;
+import dev.waxwinghead.coordination.tcp.TcpPeerNetwork;
+import dev.waxwinghead.daemon.classes.JobClassSection;
+import dev.waxwinghead.daemon.classes.JobClassService;
+import dev.waxwinghead.daemon.log.Event;
+import dev.waxwinghead.daemon.part.PeriodicTask;
+import dev.waxwinghead.daemon.state.LogSharedState;
+import dev.waxwinghead.daemon.state.SectionedStateMachine;
+import dev.waxwinghead.daemon.state.SharedState;
+import dev.waxwinghead.model.error.WaxwingheadException;
+import dev.waxwinghead.model.id.HostId;
+import dev.waxwinghead.model.id.WorkerId;
+import dev.waxwinghead.model.lifecycle.Closer;
+import dev.waxwinghead.model.time.Ticker;
+import dev.waxwinghead.scheduling.job.WorkerOrders;
+import dev.waxwinghead.scheduling.job.WorkerReport;
+import io.micrometer.core.instrument.MeterRegistry;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+
+/**
+ * Runs a host that keeps the log and may act as the scheduler of submitted jobs.
+ *
+ * <p>It finds the others through its seeds and the members that the log names, so that hosts can be added and replaced
+ * without an operator.
+ */
+public final class JobHost implements AutoCloseable {
+    /** How often the peers are brought up to date, in milliseconds: well below the silence that replaces a voter. */
+    private static final long PEERS_MILLIS = 500;
+
+    /** The largest command: a document of several thousand job classes. Must fit into a frame of the peer network. */
+    private static final int MAX_COMMAND_BYTES = 2 * 1024 * 1024;
+
+    private final JobHostSettings settings;
+    private final ReplicaNode log;
+    private final JobClassService classes;
+    private final JobEngine engine;
+    private final JobService service;
+    private final JobClassSection classSection;
+    private final Closer closer;
+
+    private JobHost(
+            JobHostSettings settings,
+            ReplicaNode log,
+            JobClassService classes,
+            JobEngine engine,
+            JobService service,
+            JobClassSection classSection,
+            Closer closer) {
+        this.settings = settings;
+        this.log = log;
+        this.classes = classes;
+        this.engine = engine;
+        this.service = service;
+        this.classSection = classSection;
+        this.closer = closer;
+    }
+
+    /**
+     * Opens the data folder and the peer port and starts to take part.
+     *
+     * @param settings the settings
+     * @param ticker the monotonic clock
+     * @param meters the metrics
+     * @return the running host, never null
+     * @throws WaxwingheadException if the folder or the port can't be opened
+     */
+    public static JobHost start(JobHostSettings settings, Ticker ticker, MeterRegistry meters) {
+        Closer closer = Closer.create();
+        try {
+            return compose(settings, ticker, meters, closer);
+        } catch (RuntimeException e) {
+            closer.close();
+            throw e;
+        }
+    }
+
+    private static JobHost compose(JobHostSettings settings, Ticker ticker, MeterRegistry meters, Closer closer) {
+        JobSection jobs = new JobSection();
+        JobClassSection classes = JobClassSection.create();
+        ReplicaStorage storage =
+                closer.register(FileReplicaStorage.open(settings.dataFolder().orElseThrow(), settings.cluster()));
+        TcpPeerNetwork network = closer.register(PeerTimes.open(settings, ticker));
+        ReplicaNode log = closer.register(ReplicaNode.start(
+                replicaSettings(settings), SectionedStateMachine.of(List.of(jobs, classes)), storage, network, ticker));
+        SharedState sharedState = LogSharedState.of(log);
+        JobEngine engine = closer.register(new JobEngine(
+                settings.self(),
+                sharedState,
+                jobs.table(),
+                new Authority(sharedState, ticker, System::currentTimeMillis),
+                settings.times(),
+                new EngineEvents(meters),
+                ticker,
+                System::currentTimeMillis));
+        jobs.onChange(engine::wake);
+        JobService service = new JobService(
+                sharedState,
+                classes,
+                jobs.table(),
+                engine,
+                () -> log.status().leader(),
+                ticker,
+                System::currentTimeMillis);
+        JobHost host =
+                new JobHost(settings, log, JobClassService.of(sharedState, classes), engine, service, classes, closer);
+        host.serve(network);
+        engine.start();
+        return host;
+    }
+
+    private static ReplicaSettings replicaSettings(JobHostSettings settings) {
+        List<HostId> founders = new ArrayList<>(settings.seeds().get());
+        if (founders.isEmpty()) {
+            founders.add(settings.self());
+        }
+        return ReplicaSettings.of(settings.self(), settings.self() + ":" + settings.peerPort(), founders)
+                .withMaxCommandBytes(MAX_COMMAND_BYTES)
+                .withVoting(ReplicaSettings.Voting.automatic(settings.voters(), settings.mayForm()));
+    }
+
+    private void serve(TcpPeerNetwork network) {
+        network.onCall(
+                PeerChannel.JOBS,
+                (from, request) -> CompletableFuture.completedFuture(request)
+                        .thenApply(JobCallCodec::unpackCall)
+                        .thenCompose(service::answer)
+                        .thenApply(JobCallCodec::pack));
+        network.onCall(PeerChannel.STATUS, (from, request) -> CompletableFuture.completedFuture(status().pack()));
+        PeerDirectory peers = new PeerDirectory(network, settings.peerPort());
+        Runnable update = () -> peers.update(settings.seeds().get(), status().members());
+        update.run();
+        ScheduledExecutorService timer =
+                Executors.newSingleThreadScheduledExecutor(action -> new Thread(action, "peer-directory"));
+        closer.register(timer::shutdownNow);
+        closer.register(PeriodicTask.start(timer, PEERS_MILLIS, "peer-directory", update));
+    }
+
+    private HostStatus status() {
+        LogStatus status = log.status();
+        List<HostId> members =
+                status.members().stream().map(LogStatus.Member::host).toList();
+        return new HostStatus(status.leader(), members, classSection.current().isPresent());
+    }
+
+    /**
+     * Returns the service that replaces and reads the job classes.
+     *
+     * @return the service, never null
+     */
+    public JobClassService classes() {
+        return classes;
+    }
+
+    /**
+     * Returns the host that leads the log.
+     *
+     * @return the leader, if one is known
+     */
+    public Optional<HostId> leader() {
+        return log.status().leader();
+    }
+
+    /**
+     * Tells whether this host acts as the scheduler of submitted jobs right now.
+     *
+     * @return true while it does
+     */
+    public boolean acting() {
+        return engine.acting();
+    }
+
+    /**
+     * Answers a worker's report.
+     *
+     * @param report the report
+     * @return the answer; empty if this host does not act, or the report is out of date
+     */
+    public Optional<WorkerOrders> report(WorkerReport report) {
+        return engine.report(report);
+    }
+
+    /**
+     * Takes note that a worker exits.
+     *
+     * @param worker the worker
+     * @param startedEpochMillis when its life began, if it says so
+     * @return false if this host does not act
+     */
+    public boolean left(WorkerId worker, OptionalLong startedEpochMillis) {
+        return engine.left(worker, startedEpochMillis);
+    }
+
+    /**
+     * Completes once the host has stopped by itself.
+     *
+     * @return a future of the reason; it never completes while the host works
+     */
+    public CompletableFuture<WaxwingheadException> failure() {
+        return log.failure();
+    }
+
+    @Override
+    public void close() {
+        Event.of("job-host-closing").with("host", settings.self()).write();
+        closer.close();
+    }
+}
--- /dev/null
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobSection.java
@@ -0,0 +1,129 @@
+package dev.waxwinghead.daemon.jobs;
+
+import dev.waxwinghead.daemon.codec.Packing;
+import dev.waxwinghead.daemon.state.SectionId;
+import dev.waxwinghead.daemon.state.StateSection;
+import dev.waxwinghead.model.id.JobId;
+import dev.waxwinghead.scheduling.job.JobCommand;
+import dev.waxwinghead.scheduling.job.JobOutcome;
+import dev.waxwinghead.scheduling.job.JobRecord;
+import dev.waxwinghead.scheduling.job.JobState;
+import dev.waxwinghead.scheduling.job.JobTable;
+import dev.waxwinghead.scheduling.job.StepRecord;
+import dev.waxwinghead.scheduling.job.TaskKey;
+import dev.waxwinghead.scheduling.job.TaskRecord;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessageUnpacker;
+
+/** Holds the job table in the shared state. Readers synchronize on the table. */
+final class JobSection implements StateSection {
+    private final JobTable table = JobTable.create();
+    private volatile Runnable listener = () -> {};
+
+    /** Returns the table. */
+    JobTable table() {
+        return table;
+    }
+
+    /** Sets who is told after each command; must not block. */
+    void onChange(Runnable action) {
+        listener = action;
+    }
+
+    @Override
+    public SectionId id() {
+        return SectionId.JOBS;
+    }
+
+    @Override
+    public byte[] apply(long index, byte[] command) {
+        JobCommand decoded = JobCodec.unpack(command);
+        JobOutcome outcome;
+        synchronized (table) {
+            outcome = table.apply(index, decoded);
+        }
+        listener.run();
+        return JobCodec.pack(outcome);
+    }
+
+    @Override
+    public byte[] snapshot() {
+        synchronized (table) {
+            return Packing.pack(packer -> {
+                packer.packLong(table.epoch());
+                Packing.list(packer, table.canceledBeforeArrival(), (out, job) -> out.packString(job.value()));
+                Packing.list(packer, table.all(), JobSection::packJob);
+            });
+        }
+    }
+
+    @Override
+    public void restore(byte[] snapshot) {
+        synchronized (table) {
+            table.clear();
+            Packing.unpack(snapshot, unpacker -> {
+                long epoch = unpacker.unpackLong();
+                table.restore(epoch, Packing.list(unpacker, in -> JobId.of(in.unpackString())));
+                Packing.list(unpacker, this::unpackJob);
+                return epoch;
+            });
+        }
+        listener.run();
+    }
+
+    private static void packJob(MessageBufferPacker packer, JobRecord job) throws IOException {
+        JobCodec.packAccept(packer, new JobCommand.Accept(job.submission(), job.terms(), job.acceptedEpochMillis()));
+        packer.packInt(job.state().code());
+        Packing.list(packer, touchedTasks(job), (out, key) -> packTask(out, key, job.task(key)));
+    }
+
+    private JobId unpackJob(MessageUnpacker unpacker) throws IOException {
+        JobCommand.Accept accept = JobCodec.unpackAccept(unpacker);
+        JobState state = JobState.ofCode(unpacker.unpackInt());
+        table.restore(accept, state, Packing.list(unpacker, JobSection::unpackTask));
+        return accept.submission().id();
+    }
+
+    private static List<TaskKey> touchedTasks(JobRecord job) {
+        List<TaskKey> touched = new ArrayList<>();
+        for (int occurrence = 0; occurrence < job.occurrences().size(); occurrence++) {
+            List<StepRecord> steps = job.occurrences().get(occurrence);
+            for (int step = 0; step < steps.size(); step++) {
+                addTouched(touched, job, occurrence, step);
+            }
+        }
+        return touched;
+    }
+
+    private static void addTouched(List<TaskKey> touched, JobRecord job, int occurrence, int step) {
+        List<TaskRecord> tasks = job.occurrences().get(occurrence).get(step).tasks();
+        for (int index = 0; index < tasks.size(); index++) {
+            if (tasks.get(index).attempts() > 0 || tasks.get(index).completed()) {
+                touched.add(new TaskKey(job.id(), occurrence, step, index));
+            }
+        }
+    }
+
+    private static void packTask(MessageBufferPacker packer, TaskKey key, TaskRecord task) throws IOException {
+        JobCodec.packTask(packer, key);
+        packer.packInt(task.attempts()).packInt(task.failures()).packBoolean(task.completed());
+        packer.packString(task.checkpoint());
+        Packing.list(packer, task.live(), (out, run) -> {
+            out.packInt(run.attempt());
+            JobCodec.packLife(out, run.worker());
+        });
+    }
+
+    private static JobTable.RestoredTask unpackTask(MessageUnpacker unpacker) throws IOException {
+        return new JobTable.RestoredTask(
+                JobCodec.unpackTask(unpacker),
+                unpacker.unpackInt(),
+                unpacker.unpackInt(),
+                unpacker.unpackBoolean(),
+                unpacker.unpackString(),
+                Packing.list(unpacker, in -> new TaskRecord.LiveRun(in.unpackInt(), JobCodec.unpackLife(in))));
+    }
+}
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/state/SectionId.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/state/SectionId.java
@@ -7,7 +7,11 @@
     /** Schedulers' terms, tasks and their attempts. */
     TASKS(2),
     /** Claims of non-idempotent requests. */
-    CLAIMS(3);
+    CLAIMS(3),
+    /** Jobs that callers submitted. */
+    JOBS(4),
+    /** The classes of submitted jobs. */
+    JOB_CLASSES(5);
 
     private final int code;
 
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/tasks/CapacityReport.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/tasks/CapacityReport.java
@@ -1,5 +1,6 @@
 package dev.waxwinghead.daemon.tasks;
 
+import dev.waxwinghead.daemon.codec.Packing;
 import dev.waxwinghead.model.id.DataCentreId;
 import dev.waxwinghead.model.label.Labels;
 import dev.waxwinghead.model.resource.Resources;
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/tasks/CommandCodec.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/tasks/CommandCodec.java
@@ -1,5 +1,6 @@
 package dev.waxwinghead.daemon.tasks;
 
+import dev.waxwinghead.daemon.codec.Packing;
 import dev.waxwinghead.model.error.ErrorKind;
 import dev.waxwinghead.model.error.WaxwingheadException;
 import dev.waxwinghead.model.id.DataCentreId;
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/tasks/SchedulerExchange.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/tasks/SchedulerExchange.java
@@ -2,6 +2,7 @@
 
 import dev.waxwinghead.coordination.peer.PeerChannel;
 import dev.waxwinghead.coordination.peer.PeerNetwork;
+import dev.waxwinghead.daemon.codec.Packing;
 import dev.waxwinghead.daemon.part.DaemonContext;
 import dev.waxwinghead.model.id.DataCentreId;
 import dev.waxwinghead.model.id.HostId;
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/tasks/WorkerRow.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/tasks/WorkerRow.java
@@ -1,5 +1,6 @@
 package dev.waxwinghead.daemon.tasks;
 
+import dev.waxwinghead.daemon.codec.Packing;
 import dev.waxwinghead.model.id.DataCentreId;
 import dev.waxwinghead.model.id.RackId;
 import dev.waxwinghead.model.id.WorkerId;
--- /dev/null
+++ b/waxwinghead-model/src/main/java/dev/waxwinghead/model/id/JobId.java
@@ -0,0 +1,40 @@
+package dev.waxwinghead.model.id;
+
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonValue;
+
+/**
+ * Identifies a submitted job.
+ *
+ * @param value the text of the id; letters, digits, {@code .}, {@code _}, {@code :} and {@code -}
+ * @since 0.1
+ */
+public record JobId(@JsonValue String value) implements Comparable<JobId> {
+    /** Checks the text of the id. */
+    public JobId {
+        IdSyntax.check(value, "job id");
+    }
+
+    /**
+     * Returns the id with the given text.
+     *
+     * @param value the text of the id
+     * @return the id, never null
+     * @throws dev.waxwinghead.model.error.WaxwingheadException if the text is empty, too long or holds another
+     *     character
+     */
+    @JsonCreator
+    public static JobId of(String value) {
+        return new JobId(value);
+    }
+
+    @Override
+    public int compareTo(JobId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/health/WorkerHealth.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/health/WorkerHealth.java
@@ -1,7 +1,6 @@
 package dev.waxwinghead.scheduling.health;
 
 import dev.waxwinghead.model.id.WorkerId;
-import dev.waxwinghead.model.manifest.ManifestKey;
 import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -16,9 +15,10 @@
  * fail there that do not fail elsewhere, and then takes single tasks on probation. A failure of a job that fails on
  * several workers and succeeds on none counts against the job alone. Used by one thread at a time.
  *
+ * @param <J> what identifies a job
  * @since 0.1
  */
-public final class WorkerHealth {
+public final class WorkerHealth<J> {
     /** How many tasks a worker may take before one of them has proved it. */
     public static final int MOST_UNPROVED = 5;
 
@@ -26,21 +26,38 @@
     private static final int LEAST_FAILURES_OF_ONE_JOB = 4;
     private static final int LEAST_WORKERS_TO_BLAME_A_JOB = 2;
     private static final long RETRY_NANOS = TimeUnit.MINUTES.toNanos(1);
-    private static final long FIRST_QUARANTINE_NANOS = TimeUnit.MINUTES.toNanos(1);
+    private static final long DEFAULT_QUARANTINE_NANOS = TimeUnit.MINUTES.toNanos(1);
     private static final int MOST_DOUBLINGS = 6;
 
-    private final Map<WorkerId, Standing> workers = new HashMap<>();
-    private final Map<ManifestKey, JobRecord> jobs = new HashMap<>();
+    private final Map<WorkerId, Standing<J>> workers = new HashMap<>();
+    private final Map<J, JobRecord> jobs = new HashMap<>();
 
-    private WorkerHealth() {}
+    private final long firstQuarantineNanos;
+
+    private WorkerHealth(long firstQuarantineNanos) {
+        this.firstQuarantineNanos = firstQuarantineNanos;
+    }
 
     /**
      * Returns a record in which every worker is unproved.
      *
+     * @param <J> what identifies a job
+     * @return the record, never null
+     */
+    public static <J> WorkerHealth<J> create() {
+        return new WorkerHealth<>(DEFAULT_QUARANTINE_NANOS);
+    }
+
+    /**
+     * Returns a record in which every worker is unproved, with another length of the first quarantine.
+     *
+     * @param firstQuarantineNanos how long a worker's first quarantine lasts, in nanoseconds; each further one in a row
+     *     lasts twice as long
+     * @param <J> what identifies a job
      * @return the record, never null
      */
-    public static WorkerHealth create() {
-        return new WorkerHealth();
+    public static <J> WorkerHealth<J> create(long firstQuarantineNanos) {
+        return new WorkerHealth<>(firstQuarantineNanos);
     }
 
     /**
@@ -49,7 +66,7 @@
      * @param worker the worker
      */
     public void started(WorkerId worker) {
-        Standing standing = standing(worker);
+        Standing<J> standing = standing(worker);
         if (!standing.proved) {
             standing.unproved++;
         }
@@ -61,7 +78,7 @@
      * @param worker the worker
      */
     public void withdrawn(WorkerId worker) {
-        Standing standing = standing(worker);
+        Standing<J> standing = standing(worker);
         standing.unproved = Math.max(0, standing.unproved - 1);
     }
 
@@ -71,8 +88,8 @@
      * @param worker the worker
      * @param job the task's job or service
      */
-    public void succeeded(WorkerId worker, ManifestKey job) {
-        Standing standing = standing(worker);
+    public void succeeded(WorkerId worker, J job) {
+        Standing<J> standing = standing(worker);
         standing.proved = true;
         standing.unproved = 0;
         standing.failures.clear();
@@ -92,11 +109,11 @@
      * @param job the task's job or service
      * @param now the time now, in nanoseconds
      */
-    public void failed(WorkerId worker, ManifestKey job, long now) {
+    public void failed(WorkerId worker, J job, long now) {
         JobRecord record = jobs.computeIfAbsent(job, key -> new JobRecord());
         record.failedOn.add(worker);
         record.succeededOn.remove(worker);
-        Standing standing = standing(worker);
+        Standing<J> standing = standing(worker);
         standing.failures.merge(job, 1, Integer::sum);
         standing.failedNanos = now;
         if (standing.proved && !failsEverywhere(job)) {
@@ -113,7 +130,7 @@
      * @param now the time now, in nanoseconds
      */
     public void review(WorkerId worker, long now) {
-        Standing standing = workers.get(worker);
+        Standing<J> standing = workers.get(worker);
         if (standing != null && !standing.failures.isEmpty()) {
             judge(standing, now);
         }
@@ -127,8 +144,8 @@
      * @param now the time now, in nanoseconds
      * @return false while it is quarantined, or has enough tasks that may yet prove it
      */
-    public boolean accepts(WorkerId worker, ManifestKey job, long now) {
-        Standing standing = workers.get(worker);
+    public boolean accepts(WorkerId worker, J job, long now) {
+        Standing<J> standing = workers.get(worker);
         if (standing == null || standing.proved) {
             return true;
         }
@@ -150,7 +167,7 @@
      * @return true while a task has not run well there since the last failure
      */
     public boolean restricted(WorkerId worker) {
-        Standing standing = workers.get(worker);
+        Standing<J> standing = workers.get(worker);
         return standing != null && !standing.proved;
     }
 
@@ -161,7 +178,7 @@
      * @return true until a task has run well there again
      */
     public boolean quarantined(WorkerId worker) {
-        Standing standing = workers.get(worker);
+        Standing<J> standing = workers.get(worker);
         return standing != null && standing.quarantined;
     }
 
@@ -171,7 +188,7 @@
      * @param job the job
      * @return the workers, empty if there are none; a live view
      */
-    public Set<WorkerId> failedOn(ManifestKey job) {
+    public Set<WorkerId> failedOn(J job) {
         JobRecord record = jobs.get(job);
         return record == null ? Set.of() : Collections.unmodifiableSet(record.failedOn);
     }
@@ -182,7 +199,7 @@
      * @param job the job
      * @return true if its failures count against itself alone
      */
-    public boolean failsEverywhere(ManifestKey job) {
+    public boolean failsEverywhere(J job) {
         JobRecord record = jobs.get(job);
         return record != null && record.failedOn.size() >= LEAST_WORKERS_TO_BLAME_A_JOB && record.succeededOn.isEmpty();
     }
@@ -192,15 +209,15 @@
      *
      * @param job the job
      */
-    public void forget(ManifestKey job) {
+    public void forget(J job) {
         jobs.remove(job);
     }
 
-    private void judge(Standing standing, long now) {
+    private void judge(Standing<J> standing, long now) {
         withdrawBlamedJobs(standing);
         int failures = 0;
         boolean runsElsewhere = false;
-        for (Map.Entry<ManifestKey, Integer> entry : standing.failures.entrySet()) {
+        for (Map.Entry<J, Integer> entry : standing.failures.entrySet()) {
             failures += entry.getValue();
             JobRecord record = jobs.get(entry.getKey());
             runsElsewhere |= record != null && !record.succeededOn.isEmpty();
@@ -211,13 +228,13 @@
         if (severalJobs || oneJob || onProbation) {
             int doublings = Math.min(standing.quarantines++, MOST_DOUBLINGS);
             standing.quarantined = true;
-            standing.quarantinedUntilNanos = now + (FIRST_QUARANTINE_NANOS << doublings);
+            standing.quarantinedUntilNanos = now + (firstQuarantineNanos << doublings);
             standing.failures.clear();
             standing.unproved = 0;
         }
     }
 
-    private void withdrawBlamedJobs(Standing standing) {
+    private void withdrawBlamedJobs(Standing<J> standing) {
         standing.failures.entrySet().removeIf(entry -> {
             boolean blamed = failsEverywhere(entry.getKey());
             if (blamed) {
@@ -227,13 +244,13 @@
         });
     }
 
-    private Standing standing(WorkerId worker) {
-        return workers.computeIfAbsent(worker, key -> new Standing());
+    private Standing<J> standing(WorkerId worker) {
+        return workers.computeIfAbsent(worker, key -> new Standing<>());
     }
 
     /** Holds what speaks for and against a worker since a task last ran well there. */
-    private static final class Standing {
-        private final Map<ManifestKey, Integer> failures = new HashMap<>();
+    private static final class Standing<J> {
+        private final Map<J, Integer> failures = new HashMap<>();
         private boolean proved;
         private int unproved;
         private long failedNanos;
--- /dev/null
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/JobRecord.java
@@ -0,0 +1,135 @@
+package dev.waxwinghead.scheduling.job;
+
+import dev.waxwinghead.model.id.JobId;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Holds one job: what was submitted, its terms and the state of its tasks. */
+public final class JobRecord {
+    private final JobSubmission submission;
+    private final JobTerms terms;
+    private final long acceptedEpochMillis;
+    private final List<List<StepRecord>> occurrences;
+    private JobState state;
+
+    JobRecord(JobSubmission submission, JobTerms terms, long acceptedEpochMillis, JobState state) {
+        this.submission = submission;
+        this.terms = terms;
+        this.acceptedEpochMillis = acceptedEpochMillis;
+        this.state = state;
+        this.occurrences = new ArrayList<>();
+        for (int occurrence = 0; occurrence < submission.schedule().occurrences(); occurrence++) {
+            occurrences.add(submission.steps().stream().map(StepRecord::new).toList());
+        }
+    }
+
+    /**
+     * Returns the job's id.
+     *
+     * @return the id, never null
+     */
+    public JobId id() {
+        return submission.id();
+    }
+
+    /**
+     * Returns the job as it was submitted.
+     *
+     * @return the submission, never null
+     */
+    public JobSubmission submission() {
+        return submission;
+    }
+
+    /**
+     * Returns the terms of its class when it was accepted.
+     *
+     * @return the terms, never null
+     */
+    public JobTerms terms() {
+        return terms;
+    }
+
+    /**
+     * Returns when it was accepted.
+     *
+     * @return the time, in wall-clock milliseconds of the accepting host
+     */
+    public long acceptedEpochMillis() {
+        return acceptedEpochMillis;
+    }
+
+    /**
+     * Returns the job's state.
+     *
+     * @return the state, never null
+     */
+    public JobState state() {
+        return state;
+    }
+
+    /**
+     * Returns the steps of each occurrence.
+     *
+     * @return the steps by occurrence and position; a live view
+     */
+    public List<List<StepRecord>> occurrences() {
+        return occurrences;
+    }
+
+    /**
+     * Returns the step that a task belongs to.
+     *
+     * @param task the task
+     * @return the step, never null
+     * @throws IndexOutOfBoundsException if the job has no such step
+     */
+    public StepRecord step(TaskKey task) {
+        return occurrences.get(task.occurrence()).get(task.step());
+    }
+
+    /**
+     * Returns a task.
+     *
+     * @param task its key
+     * @return the task, never null
+     * @throws IndexOutOfBoundsException if the job has no such task
+     */
+    public TaskRecord task(TaskKey task) {
+        return step(task).tasks().get(task.index());
+    }
+
+    /**
+     * Tells whether all steps that a step waits for have completed.
+     *
+     * @param occurrence the occurrence
+     * @param position the step's position
+     * @return true if its tasks may start
+     */
+    public boolean ready(int occurrence, int position) {
+        List<StepRecord> steps = occurrences.get(occurrence);
+        for (int earlier : submission.steps().get(position).after()) {
+            if (!steps.get(earlier).completed()) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    boolean holds(TaskKey task) {
+        return task.occurrence() >= 0
+                && task.occurrence() < occurrences.size()
+                && task.step() >= 0
+                && task.step() < submission.steps().size()
+                && task.index() >= 0
+                && task.index() < submission.steps().get(task.step()).count();
+    }
+
+    void state(JobState next) {
+        state = next;
+    }
+
+    boolean allCompleted() {
+        return occurrences.stream().allMatch(steps -> steps.stream().allMatch(StepRecord::completed));
+    }
+}
--- /dev/null
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/JobSchedule.java
@@ -0,0 +1,40 @@
+package dev.waxwinghead.scheduling.job;
+
+import dev.waxwinghead.model.error.ErrorKind;
+import dev.waxwinghead.model.error.WaxwingheadException;
+
+/**
+ * Tells how often and when the steps of a job run.
+ *
+ * @param occurrences how many times they run, from 1
+ * @param startEpochMillis when the first occurrence is due, in wall-clock milliseconds; 0 for at once
+ * @param intervalMillis the time between two occurrences, in milliseconds
+ * @since 0.2
+ */
+public record JobSchedule(int occurrences, long startEpochMillis, long intervalMillis) {
+    /** How often a job may run. */
+    public static final int MAX_OCCURRENCES = 10_000;
+
+    /** Runs once, at once. */
+    public static final JobSchedule ONCE = new JobSchedule(1, 0, 0);
+
+    /** Checks the bounds. */
+    public JobSchedule {
+        if (occurrences < 1 || occurrences > MAX_OCCURRENCES || startEpochMillis < 0 || intervalMillis < 0) {
+            throw WaxwingheadException.of(
+                    ErrorKind.INVALID_INPUT,
+                    "the schedule of " + occurrences + " occurrences is out of bounds",
+                    "give 1 to " + MAX_OCCURRENCES + " occurrences and times of 0 or more");
+        }
+    }
+
+    /**
+     * Returns when an occurrence is due.
+     *
+     * @param occurrence the occurrence, from 0
+     * @return the time in wall-clock milliseconds, 0 for at once
+     */
+    public long dueEpochMillis(int occurrence) {
+        return startEpochMillis + occurrence * intervalMillis;
+    }
+}
--- /dev/null
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/JobTable.java
@@ -0,0 +1,358 @@
+package dev.waxwinghead.scheduling.job;
+
+import dev.waxwinghead.model.id.JobClassName;
+import dev.waxwinghead.model.id.JobId;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * Holds all jobs and the rules by which they change. The same commands in the same order give the same table.
+ *
+ * <p>Callers synchronize on the table while they use it or anything that it returned.
+ *
+ * @since 0.2
+ */
+public final class JobTable {
+    private final Map<JobId, JobRecord> jobs = new LinkedHashMap<>();
+    private final Set<JobId> active = new LinkedHashSet<>();
+    private final Set<JobId> canceledBeforeArrival = new LinkedHashSet<>();
+    private final Map<WorkerLife, Set<RunKey>> runs = new HashMap<>();
+    private final Map<JobClassName, Integer> queued = new HashMap<>();
+    private long epoch;
+
+    private JobTable() {}
+
+    /**
+     * Returns an empty table.
+     *
+     * @return the table, never null
+     */
+    public static JobTable create() {
+        return new JobTable();
+    }
+
+    /**
+     * Applies a command.
+     *
+     * @param index the command's position in the log
+     * @param command the command
+     * @return what became of it
+     */
+    public JobOutcome apply(long index, JobCommand command) {
+        if (command instanceof JobCommand.Acquire) {
+            epoch = index;
+            return JobOutcome.APPLIED;
+        }
+        if (command instanceof JobCommand.Accept accept) {
+            return accept(accept);
+        }
+        if (command instanceof JobCommand.Cancel cancel) {
+            return cancel(cancel.job());
+        }
+        return advance((JobCommand.Advance) command);
+    }
+
+    /**
+     * Returns the epoch of the acting scheduler.
+     *
+     * @return the epoch, 0 before the first
+     */
+    public long epoch() {
+        return epoch;
+    }
+
+    /**
+     * Finds a job.
+     *
+     * @param id its id
+     * @return the job, if it is known
+     */
+    public Optional<JobRecord> find(JobId id) {
+        return Optional.ofNullable(jobs.get(id));
+    }
+
+    /**
+     * Returns all jobs, in the order of their acceptance.
+     *
+     * @return the jobs; a live view
+     */
+    public Collection<JobRecord> all() {
+        return Collections.unmodifiableCollection(jobs.values());
+    }
+
+    /**
+     * Returns the ids of the jobs that have not ended.
+     *
+     * @return the ids; a live view
+     */
+    public Set<JobId> active() {
+        return Collections.unmodifiableSet(active);
+    }
+
+    /**
+     * Returns the jobs that were canceled and are not known.
+     *
+     * @return the ids; a live view
+     */
+    public Set<JobId> canceledBeforeArrival() {
+        return Collections.unmodifiableSet(canceledBeforeArrival);
+    }
+
+    /**
+     * Returns the runs that may be running on a worker.
+     *
+     * @param worker the worker's life
+     * @return the runs; a live view
+     */
+    public Set<RunKey> runsOn(WorkerLife worker) {
+        return Collections.unmodifiableSet(runs.getOrDefault(worker, Set.of()));
+    }
+
+    /**
+     * Returns the workers on which something may be running.
+     *
+     * @return the workers; a live view
+     */
+    public Set<WorkerLife> busyWorkers() {
+        return Collections.unmodifiableSet(runs.keySet());
+    }
+
+    /**
+     * Tells whether a run may be running on a worker.
+     *
+     * @param worker the worker's life
+     * @param run the run
+     * @return true until its end is applied
+     */
+    public boolean isLive(WorkerLife worker, RunKey run) {
+        Set<RunKey> there = runs.get(worker);
+        return there != null && there.contains(run);
+    }
+
+    /**
+     * Returns how many accepted jobs of a class have started no task.
+     *
+     * @param jobClass the class
+     * @return the number, from 0
+     */
+    public int queued(JobClassName jobClass) {
+        return queued.getOrDefault(jobClass, 0);
+    }
+
+    private JobOutcome accept(JobCommand.Accept accept) {
+        JobId id = accept.submission().id();
+        if (jobs.containsKey(id)) {
+            return JobOutcome.REPEATED;
+        }
+        boolean canceled = canceledBeforeArrival.remove(id);
+        JobState state = canceled ? JobState.CANCELED : JobState.QUEUED;
+        add(new JobRecord(accept.submission(), accept.terms(), accept.acceptedEpochMillis(), state));
+        return JobOutcome.APPLIED;
+    }
+
+    private JobOutcome cancel(JobId id) {
+        JobRecord job = jobs.get(id);
+        if (job == null) {
+            canceledBeforeArrival.add(id);
+            return JobOutcome.UNKNOWN_JOB;
+        }
+        if (job.state().ended()) {
+            return JobOutcome.REPEATED;
+        }
+        change(job, JobState.CANCELED);
+        return JobOutcome.APPLIED;
+    }
+
+    private JobOutcome advance(JobCommand.Advance advance) {
+        if (advance.epoch() != epoch) {
+            return JobOutcome.STALE_EPOCH;
+        }
+        for (JobTransition transition : advance.transitions()) {
+            if (transition instanceof JobTransition.Started started) {
+                start(started);
+            } else if (transition instanceof JobTransition.Ended ended) {
+                end(ended);
+            } else if (transition instanceof JobTransition.Forgotten forgotten) {
+                forget(forgotten.job());
+            }
+        }
+        return JobOutcome.APPLIED;
+    }
+
+    private void start(JobTransition.Started started) {
+        TaskKey key = started.run().task();
+        JobRecord job = jobs.get(key.job());
+        if (job == null || job.state().ended() || !job.holds(key) || !job.ready(key.occurrence(), key.step())) {
+            return;
+        }
+        StepRecord step = job.step(key);
+        TaskRecord task = job.task(key);
+        boolean free = task.live().isEmpty() || step.step().speculative();
+        int attempt = started.run().attempt();
+        boolean next = step.step().gang() ? attempt > task.attempts() : attempt == task.attempts() + 1;
+        if (task.completed() || !free || !next) {
+            return;
+        }
+        step.start(task, attempt, started.worker());
+        runs.computeIfAbsent(started.worker(), worker -> new HashSet<>()).add(started.run());
+        if (job.state() == JobState.QUEUED) {
+            change(job, JobState.RUNNING);
+        }
+    }
+
+    private void end(JobTransition.Ended ended) {
+        TaskKey key = ended.run().task();
+        JobRecord job = jobs.get(key.job());
+        if (job == null || !job.holds(key)) {
+            return;
+        }
+        TaskRecord task = job.task(key);
+        Optional<TaskRecord.LiveRun> run = task.find(ended.run().attempt());
+        if (run.isEmpty()) {
+            return;
+        }
+        StepRecord step = job.step(key);
+        step.end(task, run.get(), ended.end(), ended.checkpoint());
+        removeRun(run.get().worker(), ended.run());
+        if (ended.end() == RunEnd.COMPLETED && step.step().gang()) {
+            completeGang(key, step);
+        }
+        if (!job.state().ended()) {
+            settle(job, step, task);
+        }
+    }
+
+    /** The members of a gang complete together, so the first to be heard of speaks for all. */
+    private void completeGang(TaskKey key, StepRecord step) {
+        for (int index = 0; index < step.tasks().size(); index++) {
+            TaskRecord member = step.tasks().get(index);
+            TaskKey memberKey = new TaskKey(key.job(), key.occurrence(), key.step(), index);
+            for (TaskRecord.LiveRun run : java.util.List.copyOf(member.live())) {
+                step.end(member, run, RunEnd.COMPLETED, "");
+                removeRun(run.worker(), new RunKey(memberKey, run.attempt()));
+            }
+        }
+    }
+
+    private void settle(JobRecord job, StepRecord step, TaskRecord task) {
+        boolean exhausted = !step.step().lasting()
+                && !task.completed()
+                && task.failures() >= job.terms().attempts();
+        if (exhausted) {
+            change(job, JobState.FAILED);
+        } else if (step.completed() && job.allCompleted()) {
+            change(job, JobState.DONE);
+        }
+    }
+
+    private void forget(JobId id) {
+        JobRecord job = jobs.get(id);
+        boolean live = job != null
+                && job.occurrences().stream().anyMatch(steps -> steps.stream().anyMatch(step -> step.live() > 0));
+        if (job != null && job.state().ended() && !live) {
+            jobs.remove(id);
+        }
+        canceledBeforeArrival.remove(id);
+    }
+
+    private void removeRun(WorkerLife worker, RunKey run) {
+        Set<RunKey> there = runs.get(worker);
+        if (there != null) {
+            there.remove(run);
+            if (there.isEmpty()) {
+                runs.remove(worker);
+            }
+        }
+    }
+
+    private void change(JobRecord job, JobState next) {
+        countQueued(job, -1);
+        job.state(next);
+        countQueued(job, 1);
+        if (next.ended()) {
+            active.remove(job.id());
+        }
+    }
+
+    private void countQueued(JobRecord job, int change) {
+        if (job.state() == JobState.QUEUED && job.submission().schedule().startEpochMillis() == 0) {
+            queued.merge(job.terms().jobClass(), change, Integer::sum);
+        }
+    }
+
+    private void add(JobRecord job) {
+        jobs.put(job.id(), job);
+        countQueued(job, 1);
+        if (!job.state().ended()) {
+            active.add(job.id());
+        }
+    }
+
+    /** Empties the table before it is restored. */
+    public void clear() {
+        jobs.clear();
+        active.clear();
+        canceledBeforeArrival.clear();
+        runs.clear();
+        queued.clear();
+        epoch = 0;
+    }
+
+    /**
+     * Sets the epoch and the jobs canceled before their arrival of a restored table.
+     *
+     * @param restoredEpoch the epoch
+     * @param canceled the jobs
+     */
+    public void restore(long restoredEpoch, Collection<JobId> canceled) {
+        epoch = restoredEpoch;
+        canceledBeforeArrival.addAll(canceled);
+    }
+
+    /**
+     * Adds a job to a table that is being restored.
+     *
+     * @param job the job as it was accepted
+     * @param state its state
+     * @param tasks the tasks that ever started
+     */
+    public void restore(JobCommand.Accept job, JobState state, Collection<RestoredTask> tasks) {
+        JobRecord record = new JobRecord(job.submission(), job.terms(), job.acceptedEpochMillis(), state);
+        for (RestoredTask restored : tasks) {
+            TaskRecord task = record.task(restored.key());
+            task.restore(restored.attempts(), restored.failures(), restored.completed(), restored.checkpoint());
+            for (TaskRecord.LiveRun run : restored.live()) {
+                task.live().add(run);
+                runs.computeIfAbsent(run.worker(), worker -> new HashSet<>())
+                        .add(new RunKey(restored.key(), run.attempt()));
+            }
+        }
+        record.occurrences().forEach(steps -> steps.forEach(StepRecord::recount));
+        add(record);
+    }
+
+    /**
+     * Holds a task of a table that is being restored.
+     *
+     * @param key the task
+     * @param attempts how many runs were started
+     * @param failures how many of them failed
+     * @param completed whether one completed
+     * @param checkpoint what it saved last
+     * @param live the runs that may be running
+     */
+    public record RestoredTask(
+            TaskKey key,
+            int attempts,
+            int failures,
+            boolean completed,
+            String checkpoint,
+            java.util.List<TaskRecord.LiveRun> live) {}
+}
--- /dev/null
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/StartPlan.java
@@ -0,0 +1,121 @@
+package dev.waxwinghead.scheduling.job;
+
+import dev.waxwinghead.model.id.JobId;
+import dev.waxwinghead.model.id.WorkerId;
+import dev.waxwinghead.scheduling.health.WorkerHealth;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/** Collects the starts of one round, job by job. */
+final class StartPlan {
+    private final JobTable table;
+    private final TaskPlacer placer;
+    private final WorkerHealth<JobId> health;
+    private final Map<TaskKey, Set<WorkerId>> failedOn;
+    private final SchedulerTimes times;
+    private final SchedulerEvents events;
+    private final List<JobTransition> transitions = new ArrayList<>();
+
+    StartPlan(
+            JobTable table,
+            TaskPlacer placer,
+            WorkerHealth<JobId> health,
+            Map<TaskKey, Set<WorkerId>> failedOn,
+            SchedulerTimes times,
+            SchedulerEvents events) {
+        this.table = table;
+        this.placer = placer;
+        this.health = health;
+        this.failedOn = failedOn;
+        this.times = times;
+        this.events = events;
+    }
+
+    List<JobTransition> transitions() {
+        return transitions;
+    }
+
+    void add(JobRecord job, long epochMillis) {
+        for (int occurrence = 0; occurrence < job.occurrences().size(); occurrence++) {
+            long due = job.submission().schedule().dueEpochMillis(occurrence);
+            if (due > 0 && epochMillis < due + times.dueSlack().toMillis()) {
+                return;
+            }
+            for (int position = 0; position < job.submission().steps().size(); position++) {
+                StepRecord step = job.occurrences().get(occurrence).get(position);
+                if (step.mayHaveWaiting() && job.ready(occurrence, position)) {
+                    addStep(job, occurrence, position, step);
+                }
+            }
+        }
+    }
+
+    private void addStep(JobRecord job, int occurrence, int position, StepRecord step) {
+        Map<WorkerId, Integer> perWorker = perWorker(step);
+        if (step.step().gang()) {
+            addGang(job, occurrence, position, step, perWorker);
+            return;
+        }
+        for (int index = 0; index < step.tasks().size(); index++) {
+            TaskRecord task = step.tasks().get(index);
+            if (task.completed() || !task.live().isEmpty()) {
+                continue;
+            }
+            TaskKey key = new TaskKey(job.id(), occurrence, position, index);
+            RunKey run = new RunKey(key, task.attempts() + 1);
+            Optional<WorkerEntry> worker = place(job, step, key, perWorker);
+            if (worker.isEmpty()) {
+                return;
+            }
+            start(run, worker.get());
+        }
+    }
+
+    /** Starts all members or none: a worker holds a member's room while it waits for the others. */
+    private void addGang(
+            JobRecord job, int occurrence, int position, StepRecord step, Map<WorkerId, Integer> perWorker) {
+        if (step.completed() || step.live() > 0) {
+            return;
+        }
+        int attempt =
+                1 + step.tasks().stream().mapToInt(TaskRecord::attempts).max().orElse(0);
+        List<WorkerEntry> workers = new ArrayList<>();
+        for (int index = 0; index < step.tasks().size(); index++) {
+            TaskKey key = new TaskKey(job.id(), occurrence, position, index);
+            Optional<WorkerEntry> worker = place(job, step, key, perWorker);
+            if (worker.isEmpty()) {
+                return;
+            }
+            workers.add(worker.get());
+        }
+        for (int index = 0; index < workers.size(); index++) {
+            TaskKey key = new TaskKey(job.id(), occurrence, position, index);
+            start(new RunKey(key, attempt), workers.get(index));
+        }
+    }
+
+    private Optional<WorkerEntry> place(JobRecord job, StepRecord step, TaskKey key, Map<WorkerId, Integer> perWorker) {
+        return placer.place(
+                job.terms().service(), job.id(), step.step(), perWorker, failedOn.getOrDefault(key, Set.of()));
+    }
+
+    private void start(RunKey run, WorkerEntry worker) {
+        transitions.add(new JobTransition.Started(run, worker.life()));
+        health.started(worker.id());
+        events.starting(run, worker.life(), table.epoch());
+    }
+
+    private static Map<WorkerId, Integer> perWorker(StepRecord step) {
+        Map<WorkerId, Integer> perWorker = new HashMap<>();
+        for (TaskRecord task : step.tasks()) {
+            for (TaskRecord.LiveRun run : task.live()) {
+                perWorker.merge(run.worker().worker(), 1, Integer::sum);
+            }
+        }
+        return perWorker;
+    }
+}
--- /dev/null
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TaskPlacer.java
@@ -0,0 +1,103 @@
+package dev.waxwinghead.scheduling.job;
+
+import dev.waxwinghead.model.id.JobId;
+import dev.waxwinghead.model.id.ServiceName;
+import dev.waxwinghead.model.id.WorkerId;
+import dev.waxwinghead.scheduling.health.WorkerHealth;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/** Chooses workers for tasks within one round: it counts what the round has given away already. */
+final class TaskPlacer {
+    /** Best-effort tasks may ask for this many times what is left unused: few of them use all they ask for. */
+    private static final double BEST_EFFORT_SHARE = 0.6;
+
+    private final WorkerHealth<JobId> health;
+    private final long now;
+    private final Map<ServiceName, List<WorkerRoom>> rooms = new HashMap<>();
+    private final Map<WorkerLife, WorkerRoom> byLife = new HashMap<>();
+
+    TaskPlacer(WorkerHealth<JobId> health, long now) {
+        this.health = health;
+        this.now = now;
+    }
+
+    void add(WorkerRoom room) {
+        byLife.put(room.entry().life(), room);
+        rooms.computeIfAbsent(room.entry().report().service(), service -> new ArrayList<>())
+                .add(room);
+    }
+
+    Optional<WorkerRoom> room(WorkerLife life) {
+        return Optional.ofNullable(byLife.get(life));
+    }
+
+    /**
+     * Chooses the worker for one more task of a step, and counts the task there.
+     *
+     * @param service the service that runs it
+     * @param job the job
+     * @param step the step
+     * @param perWorker how many tasks of the step run on each worker
+     * @param avoid workers on which the task failed
+     */
+    Optional<WorkerEntry> place(
+            ServiceName service, JobId job, JobStep step, Map<WorkerId, Integer> perWorker, Set<WorkerId> avoid) {
+        WorkerRoom best = null;
+        double bestScore = Double.NEGATIVE_INFINITY;
+        for (WorkerRoom room : rooms.getOrDefault(service, List.of())) {
+            if (!allowed(room, job, step, perWorker)) {
+                continue;
+            }
+            double score = score(room, step) - (avoid.contains(room.entry().id()) ? AVOIDED : 0);
+            if (score > bestScore) {
+                best = room;
+                bestScore = score;
+            }
+        }
+        if (best == null) {
+            return Optional.empty();
+        }
+        best.take(step);
+        perWorker.merge(best.entry().id(), 1, Integer::sum);
+        return Optional.of(best.entry());
+    }
+
+    /** Stands below any score that free room can give, so that an avoided worker is chosen last. */
+    private static final double AVOIDED = 1e6;
+
+    private boolean allowed(WorkerRoom room, JobId job, JobStep step, Map<WorkerId, Integer> perWorker) {
+        WorkerId worker = room.entry().id();
+        boolean label =
+                step.requiredLabel().isEmpty() || room.entry().report().labels().contains(step.requiredLabel());
+        boolean spread = step.maxPerWorker() == 0 || perWorker.getOrDefault(worker, 0) < step.maxPerWorker();
+        return label && spread && room.fits(step) && calm(room, step) && health.accepts(worker, job, now);
+    }
+
+    private static boolean calm(WorkerRoom room, JobStep step) {
+        if (!step.bestEffort()) {
+            return true;
+        }
+        return PaceControl.relaxed(room.entry(), room.strain())
+                && room.leftoverMillicores() >= BEST_EFFORT_SHARE * step.need().millicores();
+    }
+
+    private static double score(WorkerRoom room, JobStep step) {
+        double capacity = Math.max(1, room.entry().report().capacity().millicores());
+        double near = !step.dataRack().isEmpty()
+                        && step.dataRack().equals(room.entry().report().rack())
+                ? NEAR
+                : 0;
+        if (step.bestEffort()) {
+            return near + room.leftoverMillicores() / capacity - room.strain();
+        }
+        return near + room.freeMillicores() / capacity;
+    }
+
+    /** Outweighs any free room: work away from its data takes several times as long. */
+    private static final double NEAR = 10;
+}
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/task/PollHandler.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/task/PollHandler.java
@@ -2,6 +2,7 @@
 
 import dev.waxwinghead.model.id.TaskId;
 import dev.waxwinghead.model.id.WorkerId;
+import dev.waxwinghead.model.manifest.ManifestKey;
 import dev.waxwinghead.scheduling.health.WorkerHealth;
 import dev.waxwinghead.scheduling.task.PollReport.TaskReport;
 import java.util.ArrayList;
@@ -20,7 +21,7 @@
     private final Outbox outbox;
     private final Commitments commitments;
     private final SchedulerTimes times;
-    private final WorkerHealth health;
+    private final WorkerHealth<ManifestKey> health;
     private final PressureRelief relief;
 
     PollHandler(
@@ -28,7 +29,7 @@
             Outbox outbox,
             Commitments commitments,
             SchedulerTimes times,
-            WorkerHealth health,
+            WorkerHealth<ManifestKey> health,
             PressureRelief relief) {
         this.relief = relief;
         this.health = health;
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/task/Preemption.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/task/Preemption.java
@@ -34,7 +34,7 @@
     private final Commitments commitments;
     private final PlacementIndex index;
     private final QuotaLedger quotas;
-    private final WorkerHealth health;
+    private final WorkerHealth<ManifestKey> health;
     private final Map<WorkerId, WorkerEntry> workers;
     private final Map<ManifestKey, Deque<Long>> madeRoomAtNanos = new HashMap<>();
 
@@ -44,7 +44,7 @@
             Commitments commitments,
             PlacementIndex index,
             QuotaLedger quotas,
-            WorkerHealth health,
+            WorkerHealth<ManifestKey> health,
             Map<WorkerId, WorkerEntry> workers) {
         this.table = table;
         this.outbox = outbox;
