Learn which best-effort images disturb which serving images

Ruled out: lack of processor time; at full pace best-effort tasks got 0.8 of what they ask for on workers committed to 1.0. The pair model decides where a best-effort task may go, and the guiltiest one is moved when a serving task passes 0.9 of its target; serving tasks of one image go together.

--- /dev/null
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/Disturbance.java
@@ -0,0 +1,138 @@
+package dev.waxwinghead.scheduling.job;
+
+import dev.waxwinghead.scheduling.interference.InterferenceModel;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Learns which best-effort tasks disturb which serving tasks, and relieves workers whose serving tasks are near their
+ * latency targets.
+ *
+ * <p>Tasks of one image behave alike, so what is learned on one worker holds on all.
+ */
+final class Disturbance {
+    /** Above this share of its target a serving task is relieved: the gauge is half a second old and rough. */
+    private static final double RELIEF_AT = 0.9;
+
+    /** Up to this share of its target a serving task may be brought by the next best-effort task. */
+    private static final double ROOM_UP_TO = 0.85;
+
+    /** A larger multiple of its target says no more about a serving task. */
+    private static final double MAX_RATIO = 3;
+
+    /** The processor time that counts as one unit of disturbance, in millicores. */
+    private static final double UNIT_MILLICORES = 500;
+
+    /** The gauges cover half a second, so what one relief brought shows only after that. */
+    private static final long SETTLE_NANOS = TimeUnit.MILLISECONDS.toNanos(550);
+
+    /** How often one worker's gauges are learned from: they change little in less. */
+    private static final long LEARN_NANOS = TimeUnit.MILLISECONDS.toNanos(240);
+
+    private final InterferenceModel model = InterferenceModel.create();
+
+    /**
+     * Takes a worker's newest gauges in.
+     *
+     * @param entry the worker
+     * @param residents the tasks that the report lists
+     */
+    void learn(WorkerEntry entry, List<Resident> residents, long now) {
+        if (!entry.learnDue(now, LEARN_NANOS)) {
+            return;
+        }
+        Map<String, Integer> beside = new HashMap<>();
+        for (Resident resident : residents) {
+            if (resident.step().bestEffort()) {
+                int units = (int) Math.round(resident.observed().gauge() / UNIT_MILLICORES);
+                beside.merge(resident.step().image(), units, Integer::sum);
+            }
+        }
+        beside.values().removeIf(units -> units == 0);
+        for (Resident resident : residents) {
+            if (resident.atWork()) {
+                model.learn(resident.step().image(), beside, Math.min(MAX_RATIO, resident.ratio()), now);
+            }
+        }
+    }
+
+    /**
+     * Chooses the best-effort task that most likely strains the worker's worst serving task.
+     *
+     * @return the task to take off the worker, empty if none is needed or the last one was taken off just now
+     */
+    Optional<Resident> relief(WorkerEntry entry, List<Resident> residents, long now) {
+        Optional<Resident> worst = worst(residents);
+        if (worst.isEmpty() || worst.get().ratio() < RELIEF_AT || !entry.reliefDue(now, SETTLE_NANOS)) {
+            return Optional.empty();
+        }
+        Resident guilty = null;
+        double most = 0;
+        for (Resident resident : residents) {
+            boolean candidate =
+                    resident.step().bestEffort() && !entry.stopping().contains(resident.run());
+            double harm = candidate ? harm(worst.get(), resident) : 0;
+            if (harm > most) {
+                guilty = resident;
+                most = harm;
+            }
+        }
+        if (guilty != null) {
+            entry.relieved(now);
+        }
+        return Optional.ofNullable(guilty);
+    }
+
+    /** Tells whether a worker's serving tasks bear another best-effort task. */
+    boolean bears(List<Resident> residents, JobStep step) {
+        double units = step.need().millicores() / UNIT_MILLICORES;
+        for (Resident resident : residents) {
+            if (resident.step().serves()) {
+                double rise = model.rise(resident.step().image(), step.image()) * units;
+                if (Math.min(MAX_RATIO, resident.ratio()) + rise > ROOM_UP_TO) {
+                    return false;
+                }
+            }
+        }
+        return true;
+    }
+
+    private double harm(Resident serving, Resident bestEffort) {
+        double units = Math.max(1, bestEffort.observed().gauge() / UNIT_MILLICORES);
+        return model.rise(serving.step().image(), bestEffort.step().image()) * units;
+    }
+
+    private static Optional<Resident> worst(List<Resident> residents) {
+        Resident worst = null;
+        for (Resident resident : residents) {
+            if (resident.atWork() && (worst == null || resident.ratio() > worst.ratio())) {
+                worst = resident;
+            }
+        }
+        return Optional.ofNullable(worst);
+    }
+
+    /**
+     * Holds a run on a worker with its step.
+     *
+     * @param run the run
+     * @param step the step of its task
+     * @param observed what the worker's reports told of it
+     */
+    record Resident(RunKey run, JobStep step, RunObservation observed) {
+        /** Returns the tail of a serving task as a multiple of its target. */
+        double ratio() {
+            return (double) observed.gauge() / step.targetMillis();
+        }
+
+        /** Tells whether it is a serving task that answers its users. */
+        boolean atWork() {
+            return step.serves() && observed.percent() >= FULL_PERCENT;
+        }
+
+        private static final int FULL_PERCENT = 100;
+    }
+}
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/JobScheduler.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/JobScheduler.java
@@ -47,6 +47,7 @@
     private final SchedulerEvents events;
     private final WorkerBook book = new WorkerBook();
     private final WorkerHealth<JobId> health = WorkerHealth.create(QUARANTINE_NANOS);
+    private final Disturbance disturbance = new Disturbance();
     private final Map<TaskKey, Set<WorkerId>> failedOn = new HashMap<>();
     private final Map<JobId, Long> endedNanos = new HashMap<>();
     private long begunNanos;
@@ -98,9 +99,11 @@
         }
         entry.extendLease(now + times.leaseBoundNanos());
         noteProgress(entry);
-        PaceControl.adjust(entry, strain(entry), now);
+        List<Disturbance.Resident> residents = residents(entry);
+        disturbance.learn(entry, residents, now);
         markStops(entry, now);
-        return Optional.of(orders(entry, now));
+        relieve(entry, residents, now);
+        return Optional.of(orders(entry));
     }
 
     /**
@@ -154,17 +157,21 @@
         }
     }
 
-    /** Returns the highest tail of a serving task on the worker, as a multiple of its target. */
-    private double strain(WorkerEntry entry) {
-        double highest = 0;
-        for (Map.Entry<RunKey, RunObservation> observed : entry.observations().entrySet()) {
-            Optional<JobStep> step = step(observed.getKey().task()).filter(JobStep::serves);
-            if (step.isPresent()) {
-                double gauge = observed.getValue().gauge();
-                highest = Math.max(highest, gauge / step.get().targetMillis());
-            }
-        }
-        return highest;
+    private List<Disturbance.Resident> residents(WorkerEntry entry) {
+        List<Disturbance.Resident> residents =
+                new ArrayList<>(entry.observations().size());
+        entry.observations()
+                .forEach((run, observed) -> step(run.task())
+                        .ifPresent(step -> residents.add(new Disturbance.Resident(run, step, observed))));
+        return residents;
+    }
+
+    private void relieve(WorkerEntry entry, List<Disturbance.Resident> residents, long now) {
+        disturbance.relief(entry, residents, now).ifPresent(resident -> {
+            entry.stopping().add(resident.run());
+            avoid(resident.run().task(), entry.id());
+            events.stopping(resident.run(), entry.life(), "disturbs-serving-tasks");
+        });
     }
 
     private Optional<JobStep> step(TaskKey task) {
@@ -201,7 +208,7 @@
         if (entry.report().leaving() && mustMove(entry, step, observed)) {
             return Optional.of("worker-leaving");
         }
-        if (StallWatch.stalled(step, observed, entry.pace(), now)) {
+        if (StallWatch.stalled(step, observed, now)) {
             health.failed(entry.id(), run.task().job(), now);
             avoid(run.task(), entry.id());
             return Optional.of("no-progress");
@@ -221,7 +228,7 @@
         failedOn.computeIfAbsent(task, key -> new HashSet<>()).add(worker);
     }
 
-    private WorkerOrders orders(WorkerEntry entry, long now) {
+    private WorkerOrders orders(WorkerEntry entry) {
         Set<RunKey> ended = new HashSet<>();
         entry.report().ended().forEach(end -> ended.add(end.run()));
         List<WorkerOrders.Start> starts = new ArrayList<>();
@@ -243,7 +250,7 @@
                 table.epoch(),
                 starts,
                 stops,
-                paces(entry, now),
+                paces(entry),
                 nextReportMillis());
     }
 
@@ -264,17 +271,12 @@
         return acknowledged;
     }
 
-    /** Repeats the pace in each answer while it is not the full one, and for a while after it became that. */
-    private List<WorkerOrders.Pace> paces(WorkerEntry entry, long now) {
-        boolean settled = entry.pace() == PaceControl.FULL
-                && now - entry.paceChangedNanos() > times.reportTimeout().toNanos();
-        if (settled) {
-            return List.of();
-        }
+    /** Keeps best-effort tasks that are to leave from work, so that they disturb no longer while they stop. */
+    private List<WorkerOrders.Pace> paces(WorkerEntry entry) {
         List<WorkerOrders.Pace> paces = new ArrayList<>();
-        for (RunKey run : entry.observations().keySet()) {
+        for (RunKey run : entry.stopping()) {
             if (step(run.task()).filter(JobStep::bestEffort).isPresent()) {
-                paces.add(new WorkerOrders.Pace(run, entry.pace()));
+                paces.add(new WorkerOrders.Pace(run, 0));
             }
         }
         return paces;
@@ -371,7 +373,7 @@
     }
 
     private TaskPlacer placer(long now) {
-        TaskPlacer placer = new TaskPlacer(health, now);
+        TaskPlacer placer = new TaskPlacer(health, disturbance, now);
         for (WorkerEntry entry : book.entries()) {
             health.review(entry.id(), now);
             boolean takesWork = !entry.report().leaving()
@@ -386,7 +388,7 @@
     }
 
     private WorkerRoom room(WorkerEntry entry) {
-        WorkerRoom room = new WorkerRoom(entry, strain(entry));
+        WorkerRoom room = new WorkerRoom(entry, residents(entry));
         for (RunKey run : table.runsOn(entry.life())) {
             step(run.task()).ifPresent(room::take);
         }
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/StallWatch.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/StallWatch.java
@@ -10,20 +10,13 @@
     /** How many times the estimated time of one percent a run may take for it. */
     private static final int PERCENT_FACTOR = 40;
 
-    /** Below this pace a lack of progress says nothing about the worker, in percent. */
-    private static final int LEAST_PACE = 50;
-
     private StallWatch() {}
 
-    static boolean stalled(JobStep step, RunObservation observed, int pace, long now) {
+    static boolean stalled(JobStep step, RunObservation observed, long now) {
         boolean atWork = step.lasting() && observed.percent() >= 100;
         if (atWork) {
             return false;
         }
-        if (step.bestEffort() && pace < LEAST_PACE) {
-            observed.excuse(now);
-            return false;
-        }
         long perPercent = TimeUnit.MILLISECONDS.toNanos(step.estimateMillis()) / 100;
         long bound = Math.max(LEAST_NANOS, PERCENT_FACTOR * perPercent);
         return now - observed.percentChangedNanos() > bound;
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TaskPlacer.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TaskPlacer.java
@@ -17,12 +17,14 @@
     private static final double BEST_EFFORT_SHARE = 0.6;
 
     private final WorkerHealth<JobId> health;
+    private final Disturbance disturbance;
     private final long now;
     private final Map<ServiceName, List<WorkerRoom>> rooms = new HashMap<>();
     private final Map<WorkerLife, WorkerRoom> byLife = new HashMap<>();
 
-    TaskPlacer(WorkerHealth<JobId> health, long now) {
+    TaskPlacer(WorkerHealth<JobId> health, Disturbance disturbance, long now) {
         this.health = health;
+        this.disturbance = disturbance;
         this.now = now;
     }
 
@@ -78,12 +80,12 @@
         return label && spread && room.fits(step) && calm(room, step) && health.accepts(worker, job, now);
     }
 
-    private static boolean calm(WorkerRoom room, JobStep step) {
+    private boolean calm(WorkerRoom room, JobStep step) {
         if (!step.bestEffort()) {
             return true;
         }
-        return PaceControl.relaxed(room.entry(), room.strain())
-                && room.leftoverMillicores() >= BEST_EFFORT_SHARE * step.need().millicores();
+        return room.leftoverMillicores() >= BEST_EFFORT_SHARE * step.need().millicores()
+                && disturbance.bears(room.residents(), step);
     }
 
     private static double score(WorkerRoom room, JobStep step) {
@@ -93,11 +95,18 @@
                 ? NEAR
                 : 0;
         if (step.bestEffort()) {
-            return near + room.leftoverMillicores() / capacity - room.strain();
+            return near + room.leftoverMillicores() / capacity;
         }
-        return near + room.freeMillicores() / capacity;
+        double alike = step.serves() ? ALIKE * room.shareOfImage(step.image()) : 0;
+        return near + alike + room.freeMillicores() / capacity;
     }
 
+    /**
+     * Weighs serving tasks of the same image on a worker against its free room: each image bears other best-effort
+     * tasks, so workers with few images bear more.
+     */
+    private static final double ALIKE = 1;
+
     /** Outweighs any free room: work away from its data takes several times as long. */
     private static final double NEAR = 10;
 }
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/WorkerEntry.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/WorkerEntry.java
@@ -1,11 +1,9 @@
 package dev.waxwinghead.scheduling.job;
 
 import dev.waxwinghead.model.id.WorkerId;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Set;
 
@@ -19,8 +17,8 @@
     private long heardNanos;
     private long leaseEndNanos;
     private long goneNanos = Long.MAX_VALUE;
-    private int pace = PaceControl.FULL;
-    private long paceChangedNanos;
+    private long learnedNanos;
+    private long relievedNanos;
     private long refusedUntilNanos = Long.MIN_VALUE;
 
     WorkerEntry(WorkerReport report, long now) {
@@ -28,7 +26,8 @@
         this.report = report;
         this.heardNanos = now;
         this.leaseEndNanos = now;
-        this.paceChangedNanos = now;
+        this.learnedNanos = now;
+        this.relievedNanos = now;
     }
 
     WorkerLife life() {
@@ -98,17 +97,21 @@
         return now - heardNanos > boundNanos;
     }
 
-    int pace() {
-        return pace;
+    /** Tells whether the last gauges were learned from long enough ago, and if so counts these as learned from. */
+    boolean learnDue(long now, long intervalNanos) {
+        boolean due = now - learnedNanos >= intervalNanos;
+        if (due) {
+            learnedNanos = now;
+        }
+        return due;
     }
 
-    long paceChangedNanos() {
-        return paceChangedNanos;
+    boolean reliefDue(long now, long intervalNanos) {
+        return now - relievedNanos >= intervalNanos;
     }
 
-    void pace(int percent, long now) {
-        pace = percent;
-        paceChangedNanos = now;
+    void relieved(long now) {
+        relievedNanos = now;
     }
 
     void refused(long untilNanos) {
@@ -118,8 +121,4 @@
     boolean refusing(long now) {
         return refusedUntilNanos != Long.MIN_VALUE && now - refusedUntilNanos < 0;
     }
-
-    List<RunKey> observedRuns() {
-        return new ArrayList<>(observations.keySet());
-    }
 }
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/WorkerRoom.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/WorkerRoom.java
@@ -1,23 +1,27 @@
 package dev.waxwinghead.scheduling.job;
 
 import dev.waxwinghead.model.resource.Resources;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
 
 /** Counts what one worker still has room for, within one round of placement. */
 final class WorkerRoom {
     /** The part of its processor request that a serving task uses on the mean; the rest is left to best effort. */
-    private static final double SERVING_USE = 0.6;
+    private static final double SERVING_USE = 0.5;
 
     private final WorkerEntry entry;
-    private final double strain;
+    private final List<Disturbance.Resident> residents;
+    private final Map<String, Integer> servingImages = new HashMap<>();
     private long freeMillicores;
     private long freeMemoryBytes;
     private long freeAccelerators;
     private double leftoverMillicores;
     private int serving;
 
-    WorkerRoom(WorkerEntry entry, double strain) {
+    WorkerRoom(WorkerEntry entry, List<Disturbance.Resident> residents) {
         this.entry = entry;
-        this.strain = strain;
+        this.residents = residents;
         Resources capacity = entry.report().capacity();
         this.freeMillicores = capacity.millicores();
         this.freeMemoryBytes = capacity.memoryBytes();
@@ -29,8 +33,13 @@
         return entry;
     }
 
-    double strain() {
-        return strain;
+    List<Disturbance.Resident> residents() {
+        return residents;
+    }
+
+    /** Returns how many of its serving tasks run an image, as a share of all its serving tasks. */
+    double shareOfImage(String image) {
+        return serving == 0 ? 0 : (double) servingImages.getOrDefault(image, 0) / serving;
     }
 
     long freeMillicores() {
@@ -57,6 +66,7 @@
         leftoverMillicores -= step.serves() ? SERVING_USE * need.millicores() : need.millicores();
         if (step.serves()) {
             serving++;
+            servingImages.merge(step.image(), 1, Integer::sum);
         }
     }
 
