--- a/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/consensus/CoreState.java
+++ b/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/consensus/CoreState.java
@@ -97,6 +97,11 @@
         electionDeadline = now + random.nextLong(longest / 4, longest);
     }
 
+    /** Sets when to stand for election after a leader has stepped down; spread, so that one voter asks first. */
+    void resetPromptDeadline() {
+        electionDeadline = now + random.nextLong(settings.heartbeatInterval().toNanos());
+    }
+
     void noteContact() {
         lastContact = now;
         hadContact = true;
--- a/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/consensus/Elections.java
+++ b/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/consensus/Elections.java
@@ -34,6 +34,27 @@
         }
     }
 
+    /** Steps down and tells the other voters. */
+    void resign() {
+        if (!state.isLeader()) {
+            return;
+        }
+        for (Member voter : state.membership().voters()) {
+            if (!voter.replica().equals(state.self)) {
+                state.sendNow(voter.host(), new Message.Resignation(state.headerTo(voter.replica())));
+            }
+        }
+        state.becomeFollower(state.term());
+    }
+
+    /** Forgets a leader that has stepped down, and stands for election soon. */
+    void leaderResigned(Message.Resignation resignation) {
+        if (state.leader.equals(Optional.of(resignation.header().from()))) {
+            state.forgetLeader();
+            state.resetPromptDeadline();
+        }
+    }
+
     /** Counts the own vote, which is on disk now. */
     void persisted() {
         if (state.role == Role.CANDIDATE && !ownVoteOnDisk) {
--- a/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/consensus/Message.java
+++ b/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/consensus/Message.java
@@ -110,4 +110,11 @@
      * @param round the round of the chunk
      */
     record SnapshotResponse(Header header, long lastIndex, long nextOffset, long round) implements Message {}
+
+    /**
+     * Tells a voter that the sender leads no longer, so that the next election need not wait for its silence.
+     *
+     * @param header the header
+     */
+    record Resignation(Header header) implements Message {}
 }
--- a/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/consensus/MessageCodec.java
+++ b/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/consensus/MessageCodec.java
@@ -3,6 +3,7 @@
 import dev.waxwinghead.coordination.consensus.Message.AppendRequest;
 import dev.waxwinghead.coordination.consensus.Message.AppendResponse;
 import dev.waxwinghead.coordination.consensus.Message.Header;
+import dev.waxwinghead.coordination.consensus.Message.Resignation;
 import dev.waxwinghead.coordination.consensus.Message.SnapshotChunk;
 import dev.waxwinghead.coordination.consensus.Message.SnapshotResponse;
 import dev.waxwinghead.coordination.consensus.Message.VoteRequest;
@@ -23,6 +24,7 @@
     private static final int APPEND_RESPONSE = 4;
     private static final int SNAPSHOT_CHUNK = 5;
     private static final int SNAPSHOT_RESPONSE = 6;
+    private static final int RESIGNATION = 7;
     private static final int MAX_ENTRIES = 1 << 20;
     private static final int NO_OP = 0;
     private static final int COMMAND = 1;
@@ -62,6 +64,8 @@
         } else if (message instanceof SnapshotResponse m) {
             header(writer, SNAPSHOT_RESPONSE, m.header());
             writer.number(m.lastIndex()).number(m.nextOffset()).number(m.round());
+        } else if (message instanceof Resignation m) {
+            header(writer, RESIGNATION, m.header());
         }
         return writer.toBytes();
     }
@@ -101,6 +105,9 @@
         if (type == SNAPSHOT_RESPONSE) {
             return new SnapshotResponse(header, reader.position(), reader.position(), reader.position());
         }
+        if (type == RESIGNATION) {
+            return new Resignation(header);
+        }
         throw new MalformedMessageException("unknown type " + type);
     }
 
--- a/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/consensus/ReplicaCore.java
+++ b/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/consensus/ReplicaCore.java
@@ -2,6 +2,7 @@
 
 import dev.waxwinghead.coordination.consensus.Message.AppendRequest;
 import dev.waxwinghead.coordination.consensus.Message.AppendResponse;
+import dev.waxwinghead.coordination.consensus.Message.Resignation;
 import dev.waxwinghead.coordination.consensus.Message.SnapshotChunk;
 import dev.waxwinghead.coordination.consensus.Message.SnapshotResponse;
 import dev.waxwinghead.coordination.consensus.Message.VoteRequest;
@@ -181,6 +182,14 @@
         changes.balance(target);
     }
 
+    /**
+     * Gives leadership up, if this replica leads, and lets the other voters elect a leader at once. This replica asks
+     * for no votes for a while.
+     */
+    public void resign() {
+        elections.resign();
+    }
+
     /**
      * Takes a state of the state machine as the newest snapshot and forgets old entries.
      *
@@ -388,6 +397,8 @@
             follower.chunk(from, chunk);
         } else if (message instanceof SnapshotResponse response) {
             leadership.response(response);
+        } else if (message instanceof Resignation resignation) {
+            elections.leaderResigned(resignation);
         }
     }
 }
--- a/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/replica/ReplicaLoop.java
+++ b/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/replica/ReplicaLoop.java
@@ -115,6 +115,10 @@
         }
     }
 
+    void resign() {
+        execute(core::resign);
+    }
+
     void stop() {
         running = false;
         execute(() -> {});
--- a/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/replica/ReplicaNode.java
+++ b/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/replica/ReplicaNode.java
@@ -133,6 +133,14 @@
         return loop.failure().copy();
     }
 
+    /**
+     * Gives leadership up, if this replica leads, so that another takes over without waiting for its silence. The
+     * replica goes on as a follower until it is closed.
+     */
+    public void resign() {
+        loop.resign();
+    }
+
     @Override
     public void close() {
         loop.stop();
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/EngineEvents.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/EngineEvents.java
@@ -14,16 +14,19 @@
 
 /** Turns the scheduler's decisions into log lines and counters. */
 final class EngineEvents implements SchedulerEvents {
+    /** One late report in so many is logged: networks that deliver twice make them common. */
+    private static final int LATE_REPORT_SAMPLE = 100;
+
     private final MeterRegistry meters;
     private final Counter starts;
     private final Counter stops;
-    private final Counter latereports;
+    private final Counter lateReports;
 
     EngineEvents(MeterRegistry meters) {
         this.meters = meters;
         this.starts = meters.counter("waxwinghead.job.task.starts");
         this.stops = meters.counter("waxwinghead.job.task.stops");
-        this.latereports = meters.counter("waxwinghead.job.reports.late");
+        this.lateReports = meters.counter("waxwinghead.job.reports.late");
     }
 
     @Override
@@ -48,11 +51,15 @@
 
     @Override
     public void reportPassedOver(WorkerReport report) {
-        latereports.increment();
+        lateReports.increment();
+        if (lateReports.count() % LATE_REPORT_SAMPLE != 1) {
+            return;
+        }
         Event.of("report-passed-over")
                 .with("worker", report.life().worker())
                 .with("life", report.life().startedEpochMillis())
                 .with("sequence", report.sequence())
+                .with("total", (long) lateReports.count())
                 .write();
     }
 
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobHost.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobHost.java
@@ -212,6 +212,15 @@
         return log.failure();
     }
 
+    /**
+     * Hands the scheduling over to another host. This one goes on as a follower until it is closed, so that what is in
+     * flight gets its answer.
+     */
+    public void handOver() {
+        engine.close();
+        log.resign();
+    }
+
     @Override
     public void close() {
         Event.of("job-host-closing").with("host", settings.self()).write();
