--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/Disturbance.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/Disturbance.java
@@ -1,6 +1,7 @@
 package dev.waxwinghead.scheduling.job;
 
-import dev.waxwinghead.scheduling.interference.InterferenceModel;
+import dev.waxwinghead.model.id.JobId;
+import dev.waxwinghead.scheduling.interference.PairwiseDisturbance;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -15,13 +16,21 @@
  */
 final class Disturbance {
     /** Above this share of its target a serving task is relieved: the gauge is half a second old and rough. */
-    private static final double RELIEF_AT = 0.9;
+    private static final double RELIEF_AT = 0.92;
 
     /** Up to this share of its target a serving task may be brought by the next best-effort task. */
-    private static final double ROOM_UP_TO = 0.85;
+    private static final double LOG_ROOM_UP_TO = Math.log(0.85);
 
-    /** A larger multiple of its target says no more about a serving task. */
-    private static final double MAX_RATIO = 3;
+    /** A task that raises the logarithm of a latency by less is not worth moving. */
+    private static final double LEAST_HARM = 0.15;
+
+    /** Multiples of the target outside these bounds say no more about a serving task. */
+    private static final double MIN_RATIO = 0.05;
+
+    private static final double MAX_RATIO = 4;
+
+    /** How many standard deviations of what is not known yet are counted as harm where a task is placed. */
+    private static final double PLACING_CAUTION = 0.3;
 
     /** The processor time that counts as one unit of disturbance, in millicores. */
     private static final double UNIT_MILLICORES = 500;
@@ -32,7 +41,7 @@
     /** How often one worker's gauges are learned from: they change little in less. */
     private static final long LEARN_NANOS = TimeUnit.MILLISECONDS.toNanos(240);
 
-    private final InterferenceModel model = InterferenceModel.create();
+    private final PairwiseDisturbance model = PairwiseDisturbance.create();
 
     /**
      * Takes a worker's newest gauges in.
@@ -44,17 +53,15 @@
         if (!entry.learnDue(now, LEARN_NANOS)) {
             return;
         }
-        Map<String, Integer> beside = new HashMap<>();
+        Map<String, Double> beside = new HashMap<>();
         for (Resident resident : residents) {
-            if (resident.step().bestEffort()) {
-                int units = (int) Math.round(resident.observed().gauge() / UNIT_MILLICORES);
-                beside.merge(resident.step().image(), units, Integer::sum);
+            if (resident.step().bestEffort() && resident.observed().gauge() > 0) {
+                beside.merge(resident.step().image(), resident.observed().gauge() / UNIT_MILLICORES, Double::sum);
             }
         }
-        beside.values().removeIf(units -> units == 0);
         for (Resident resident : residents) {
             if (resident.atWork()) {
-                model.learn(resident.step().image(), beside, Math.min(MAX_RATIO, resident.ratio()), now);
+                model.learn(resident.job(), resident.step().image(), beside, resident.logRatio(), now);
             }
         }
     }
@@ -70,7 +77,7 @@
             return Optional.empty();
         }
         Resident guilty = null;
-        double most = 0;
+        double most = LEAST_HARM;
         for (Resident resident : residents) {
             boolean candidate =
                     resident.step().bestEffort() && !entry.stopping().contains(resident.run());
@@ -91,8 +98,9 @@
         double units = step.need().millicores() / UNIT_MILLICORES;
         for (Resident resident : residents) {
             if (resident.step().serves()) {
-                double rise = model.rise(resident.step().image(), step.image()) * units;
-                if (Math.min(MAX_RATIO, resident.ratio()) + rise > ROOM_UP_TO) {
+                double rise = units * model.rise(resident.step().image(), step.image(), PLACING_CAUTION);
+                double present = resident.atWork() ? resident.logRatio() : model.level(resident.job());
+                if (Math.max(present, model.level(resident.job())) + rise > LOG_ROOM_UP_TO) {
                     return false;
                 }
             }
@@ -100,9 +108,14 @@
         return true;
     }
 
+    /** Forgets a job that has ended. */
+    void forget(JobId job) {
+        model.forget(job.value());
+    }
+
     private double harm(Resident serving, Resident bestEffort) {
         double units = Math.max(1, bestEffort.observed().gauge() / UNIT_MILLICORES);
-        return model.rise(serving.step().image(), bestEffort.step().image()) * units;
+        return units * model.rise(serving.step().image(), bestEffort.step().image(), 0);
     }
 
     private static Optional<Resident> worst(List<Resident> residents) {
@@ -123,6 +136,15 @@
      * @param observed what the worker's reports told of it
      */
     record Resident(RunKey run, JobStep step, RunObservation observed) {
+        String job() {
+            return run.task().job().value();
+        }
+
+        /** Returns the logarithm of {@link #ratio()}, within the bounds that say something. */
+        double logRatio() {
+            return Math.log(Math.max(MIN_RATIO, Math.min(MAX_RATIO, ratio())));
+        }
+
         /** Returns the tail of a serving task as a multiple of its target. */
         double ratio() {
             return (double) observed.gauge() / step.targetMillis();
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/JobScheduler.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/JobScheduler.java
@@ -401,6 +401,7 @@
                 endedNanos.put(job.id(), now);
                 events.jobEnded(job);
                 health.forget(job.id());
+                disturbance.forget(job.id());
                 failedOn.keySet().removeIf(task -> task.job().equals(job.id()));
             }
         }
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TaskPlacer.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TaskPlacer.java
@@ -97,13 +97,15 @@
         if (step.bestEffort()) {
             return near + room.leftoverMillicores() / capacity;
         }
-        double alike = step.serves() ? ALIKE * room.shareOfImage(step.image()) : 0;
-        return near + alike + room.freeMillicores() / capacity;
+        if (step.serves()) {
+            return near + ALIKE * room.shareOfImage(step.image()) - room.freeMillicores() / capacity;
+        }
+        return near + room.freeMillicores() / capacity;
     }
 
     /**
-     * Weighs serving tasks of the same image on a worker against its free room: each image bears other best-effort
-     * tasks, so workers with few images bear more.
+     * Weighs serving tasks of the same image on a worker against little free room: each image bears other best-effort
+     * tasks, so workers with few images bear more, and those without serving tasks bear all.
      */
     private static final double ALIKE = 1;
 
