--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobEngine.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobEngine.java
@@ -41,21 +41,22 @@
 
     private static final long RETRY_MILLIS = 100;
 
+    private static final long NONE = -1;
+
     private final HostId self;
     private final SharedState sharedState;
     private final JobTable table;
     private final Authority authority;
-    private final SchedulerTimes times;
-    private final SchedulerEvents events;
     private final Ticker ticker;
     private final LongSupplier epochMillis;
     private final Semaphore work = new Semaphore(0);
     private final Thread thread;
     private volatile boolean closed;
-    /** Guarded by the table's monitor; null while this host does not act. */
-    private JobScheduler scheduler;
+    /** Guarded by the table's monitor. */
+    private final JobScheduler scheduler;
 
-    private long ownEpoch;
+    /** Guarded by the table's monitor; the epoch as whose scheduler this host acts, or {@link #NONE}. */
+    private long ownEpoch = NONE;
 
     JobEngine(
             HostId self,
@@ -70,10 +71,9 @@
         this.sharedState = sharedState;
         this.table = table;
         this.authority = authority;
-        this.times = times;
-        this.events = events;
         this.ticker = ticker;
         this.epochMillis = epochMillis;
+        this.scheduler = JobScheduler.of(table, times, events);
         this.thread = new Thread(this::run, "job-engine");
     }
 
@@ -91,7 +91,7 @@
     /** Tells whether this host acts as the scheduler right now. */
     boolean acting() {
         synchronized (table) {
-            return scheduler != null && table.epoch() == ownEpoch && authority.held();
+            return table.epoch() == ownEpoch && authority.held();
         }
     }
 
@@ -147,7 +147,7 @@
         boolean leads = authority.held();
         boolean current;
         synchronized (table) {
-            current = scheduler != null && table.epoch() == ownEpoch;
+            current = table.epoch() == ownEpoch;
         }
         if (!leads) {
             return;
@@ -168,7 +168,6 @@
         }
         synchronized (table) {
             ownEpoch = table.epoch();
-            scheduler = JobScheduler.of(table, times, events);
             scheduler.begin(ticker.nanos());
         }
         Event.of("scheduler-acting").with("host", self).with("epoch", ownEpoch).write();
@@ -209,7 +208,7 @@
 
     private void resign(String reason) {
         synchronized (table) {
-            if (scheduler != null) {
+            if (ownEpoch != NONE) {
                 Event.of("scheduler-resigned")
                         .with("host", self)
                         .with("epoch", ownEpoch)
@@ -217,7 +216,7 @@
                         .with("reason", reason)
                         .write();
             }
-            scheduler = null;
+            ownEpoch = NONE;
         }
     }
 
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/interference/PairwiseDisturbance.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/interference/PairwiseDisturbance.java
@@ -25,6 +25,15 @@
     /** What an image does changes far more slowly than load. */
     private static final double RISE_AGEING_PER_SECOND = 0.00002;
 
+    /** Below this variance a rise is known: some seconds beside each other. */
+    private static final double KNOWN_VARIANCE = 0.0015;
+
+    /** The peak of a job that has not been seen through a swing. */
+    private static final double PRIOR_PEAK = -0.3;
+
+    /** By how much a peak is forgotten in a second: a swing takes 10 to 20 of them. */
+    private static final double PEAK_DECAY_PER_SECOND = 0.03;
+
     private static final double MEASUREMENT_VARIANCE = 0.06;
     private static final double NANOS_PER_SECOND = 1e9;
 
@@ -65,6 +74,7 @@
             spread += rise.variance * other.getValue() * other.getValue();
         }
         level.correct(1, error, spread);
+        level.notePeak(now);
         for (Map.Entry<String, Double> other : beside.entrySet()) {
             known.get(other.getKey()).correct(other.getValue(), error, spread);
         }
@@ -81,6 +91,31 @@
         return level == null ? PRIOR_LEVEL : level.mean;
     }
 
+    /**
+     * Returns the highest level of a serving job within the last swing of its load.
+     *
+     * @param job the job
+     * @param now the time now, in nanoseconds
+     * @return the logarithm of its latency as a multiple of its target
+     */
+    public double peak(String job, long now) {
+        Estimate level = levels.get(job);
+        return level == null ? PRIOR_PEAK : Math.max(level.mean, level.peak(now));
+    }
+
+    /**
+     * Tells whether a pair of images has been seen together often enough to be judged.
+     *
+     * @param image the serving image
+     * @param other the image beside it
+     * @return true if the rise is known well
+     */
+    public boolean knows(String image, String other) {
+        Map<String, Estimate> known = rises.get(image);
+        Estimate rise = known == null ? null : known.get(other);
+        return rise != null && rise.variance < KNOWN_VARIANCE;
+    }
+
     /**
      * Returns how much one unit of an image raises a serving image's latency.
      *
@@ -115,11 +150,25 @@
         private double mean;
         private double variance;
         private long updatedNanos;
+        private double peak = PRIOR_PEAK;
+        private long peakNanos;
 
         Estimate(double mean, double variance, long updatedNanos) {
             this.mean = mean;
             this.variance = variance;
             this.updatedNanos = updatedNanos;
+            this.peakNanos = updatedNanos;
+        }
+
+        void notePeak(long now) {
+            if (mean >= peak(now)) {
+                peak = mean;
+                peakNanos = now;
+            }
+        }
+
+        double peak(long now) {
+            return peak - PEAK_DECAY_PER_SECOND * Math.max(0, now - peakNanos) / NANOS_PER_SECOND;
         }
 
         void age(long now, double perSecond, double most) {
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/Disturbance.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/Disturbance.java
@@ -29,8 +29,8 @@
 
     private static final double MAX_RATIO = 4;
 
-    /** How many standard deviations of what is not known yet are counted as harm where a task is placed. */
-    private static final double PLACING_CAUTION = 0.3;
+    /** A task that raises the logarithm of a latency by less is taken as harmless: gauges are not exacter. */
+    private static final double HARMLESS = 0.12;
 
     /** The processor time that counts as one unit of disturbance, in millicores. */
     private static final double UNIT_MILLICORES = 500;
@@ -93,21 +93,27 @@
         return Optional.ofNullable(guilty);
     }
 
-    /** Tells whether a worker's serving tasks bear another best-effort task. */
-    boolean bears(List<Resident> residents, JobStep step) {
+    /** Tells whether a worker's serving tasks bear another best-effort task, also at the next peak of their load. */
+    boolean bears(List<Resident> residents, JobStep step, long now) {
         double units = step.need().millicores() / UNIT_MILLICORES;
         for (Resident resident : residents) {
-            if (resident.step().serves()) {
-                double rise = units * model.rise(resident.step().image(), step.image(), PLACING_CAUTION);
-                double present = resident.atWork() ? resident.logRatio() : model.level(resident.job());
-                if (Math.max(present, model.level(resident.job())) + rise > LOG_ROOM_UP_TO) {
-                    return false;
-                }
+            if (resident.step().serves() && !bears(resident, step, units, now)) {
+                return false;
             }
         }
         return true;
     }
 
+    private boolean bears(Resident serving, JobStep step, double units, long now) {
+        String image = serving.step().image();
+        double rise = units * model.rise(image, step.image(), 0);
+        double present = serving.atWork() ? serving.logRatio() : model.level(serving.job());
+        if (!model.knows(image, step.image())) {
+            return present + rise <= LOG_ROOM_UP_TO;
+        }
+        return rise <= HARMLESS || Math.max(present, model.peak(serving.job(), now)) + rise <= LOG_ROOM_UP_TO;
+    }
+
     /** Forgets a job that has ended. */
     void forget(JobId job) {
         model.forget(job.value());
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/JobRecord.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/JobRecord.java
@@ -116,6 +116,34 @@
         return true;
     }
 
+    /**
+     * Returns the longest chain of estimated work over the steps that have not completed.
+     *
+     * @return the time in milliseconds, of the occurrence that has most left
+     */
+    public long remainingChainMillis() {
+        long longest = 0;
+        for (List<StepRecord> steps : occurrences) {
+            longest = Math.max(longest, remainingChainMillis(steps));
+        }
+        return longest;
+    }
+
+    private static long remainingChainMillis(List<StepRecord> steps) {
+        long[] ends = new long[steps.size()];
+        long longest = 0;
+        for (int position = 0; position < ends.length; position++) {
+            JobStep step = steps.get(position).step();
+            long start = 0;
+            for (int earlier : step.after()) {
+                start = Math.max(start, ends[earlier]);
+            }
+            ends[position] = start + (steps.get(position).completed() ? 0 : step.estimateMillis());
+            longest = Math.max(longest, ends[position]);
+        }
+        return longest;
+    }
+
     boolean holds(TaskKey task) {
         return task.occurrence() >= 0
                 && task.occurrence() < occurrences.size()
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/JobScheduler.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/JobScheduler.java
@@ -45,7 +45,7 @@
     private final JobTable table;
     private final SchedulerTimes times;
     private final SchedulerEvents events;
-    private final WorkerBook book = new WorkerBook();
+    private WorkerBook book = new WorkerBook();
     private final WorkerHealth<JobId> health = WorkerHealth.create(QUARANTINE_NANOS);
     private final Disturbance disturbance = new Disturbance();
     private final Map<TaskKey, Set<WorkerId>> failedOn = new HashMap<>();
@@ -71,12 +71,19 @@
     }
 
     /**
-     * Takes note that this scheduler has taken over and the table holds all that its predecessors did.
+     * Takes note that this scheduler has taken over and the table holds all that its predecessors did. What it knew of
+     * workers is void: another scheduler may have given them leases meanwhile. What it learned about images holds.
      *
      * @param now the time now, in nanoseconds of a monotonic clock
      */
     public void begin(long now) {
         begunNanos = now;
+        book = new WorkerBook();
+        for (JobRecord job : table.all()) {
+            if (job.state().ended()) {
+                endedNanos.putIfAbsent(job.id(), now);
+            }
+        }
     }
 
     /**
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TaskPlacer.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TaskPlacer.java
@@ -85,7 +85,7 @@
             return true;
         }
         return room.leftoverMillicores() >= BEST_EFFORT_SHARE * step.need().millicores()
-                && disturbance.bears(room.residents(), step);
+                && disturbance.bears(room.residents(), step, now);
     }
 
     private static double score(WorkerRoom room, JobStep step) {
@@ -107,7 +107,7 @@
      * Weighs serving tasks of the same image on a worker against little free room: each image bears other best-effort
      * tasks, so workers with few images bear more, and those without serving tasks bear all.
      */
-    private static final double ALIKE = 1;
+    private static final double ALIKE = 2;
 
     /** Outweighs any free room: work away from its data takes several times as long. */
     private static final double NEAR = 10;
