--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/EngineEvents.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/EngineEvents.java
@@ -100,6 +100,11 @@
                 .write();
     }
 
+    @Override
+    public void learned(String pairs) {
+        Event.of("disturbance-learned").with("pairs", pairs).write();
+    }
+
     @Override
     public void jobEnded(JobRecord job) {
         long millis = Math.max(0, System.currentTimeMillis() - job.acceptedEpochMillis());
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/interference/PairwiseDisturbance.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/interference/PairwiseDisturbance.java
@@ -23,7 +23,10 @@
     private static final double PRIOR_RISE_VARIANCE = 0.01;
 
     /** What an image does changes far more slowly than load. */
-    private static final double RISE_AGEING_PER_SECOND = 0.00002;
+    private static final double RISE_AGEING_PER_SECOND = 0.00005;
+
+    /** After how long without a measurement a rise has gone most of the way back to what is expected of any pair. */
+    private static final double RISE_MEMORY_SECONDS = 25;
 
     /** Below this variance a rise is known: some seconds beside each other. */
     private static final double KNOWN_VARIANCE = 0.0015;
@@ -69,6 +72,7 @@
         for (Map.Entry<String, Double> other : beside.entrySet()) {
             Estimate rise =
                     known.computeIfAbsent(other.getKey(), key -> new Estimate(PRIOR_RISE, PRIOR_RISE_VARIANCE, now));
+            rise.mean = rise.meanAt(now, PRIOR_RISE);
             rise.age(now, RISE_AGEING_PER_SECOND, PRIOR_RISE_VARIANCE);
             error -= rise.mean * other.getValue();
             spread += rise.variance * other.getValue() * other.getValue();
@@ -108,12 +112,13 @@
      *
      * @param image the serving image
      * @param other the image beside it
+     * @param now the time now, in nanoseconds
      * @return true if the rise is known well
      */
-    public boolean knows(String image, String other) {
+    public boolean knows(String image, String other, long now) {
         Map<String, Estimate> known = rises.get(image);
         Estimate rise = known == null ? null : known.get(other);
-        return rise != null && rise.variance < KNOWN_VARIANCE;
+        return rise != null && rise.varianceAt(now, RISE_AGEING_PER_SECOND) < KNOWN_VARIANCE;
     }
 
     /**
@@ -121,16 +126,33 @@
      *
      * @param image the serving image
      * @param other the image beside it
-     * @param caution how many standard deviations are added for what is not known
-     * @return the rise of the logarithm, not negative
+     * @param now the time now, in nanoseconds
+     * @return the rise of the logarithm, not negative; what was learned long ago counts less
      */
-    public double rise(String image, String other, double caution) {
+    public double rise(String image, String other, long now) {
         Map<String, Estimate> known = rises.get(image);
         Estimate rise = known == null ? null : known.get(other);
         if (rise == null) {
-            return PRIOR_RISE + caution * Math.sqrt(PRIOR_RISE_VARIANCE);
+            return PRIOR_RISE;
         }
-        return Math.max(0, rise.mean) + caution * Math.sqrt(rise.variance);
+        return Math.max(0, rise.meanAt(now, PRIOR_RISE));
+    }
+
+    /**
+     * Describes what is known of all pairs, for a log line.
+     *
+     * @param now the time now, in nanoseconds
+     * @return the pairs with their rises in thousandths
+     */
+    public String describe(long now) {
+        StringBuilder text = new StringBuilder();
+        rises.forEach((image, known) -> known.forEach((other, rise) -> text.append(other)
+                .append('>')
+                .append(image)
+                .append('=')
+                .append(Math.round(1000 * rise.meanAt(now, PRIOR_RISE)))
+                .append(rise.varianceAt(now, RISE_AGEING_PER_SECOND) < KNOWN_VARIANCE ? " " : "? ")));
+        return text.toString().strip();
     }
 
     /**
@@ -171,6 +193,16 @@
             return peak - PEAK_DECAY_PER_SECOND * Math.max(0, now - peakNanos) / NANOS_PER_SECOND;
         }
 
+        /** Returns the mean as it has faded towards the expected one since the last measurement. */
+        double meanAt(long now, double expected) {
+            double seconds = Math.max(0, now - updatedNanos) / NANOS_PER_SECOND;
+            return expected + (mean - expected) * Math.exp(-seconds / RISE_MEMORY_SECONDS);
+        }
+
+        double varianceAt(long now, double perSecond) {
+            return variance + perSecond * Math.max(0, now - updatedNanos) / NANOS_PER_SECOND;
+        }
+
         void age(long now, double perSecond, double most) {
             double seconds = Math.max(0, now - updatedNanos) / NANOS_PER_SECOND;
             variance = Math.min(most, variance + perSecond * seconds);
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/Disturbance.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/Disturbance.java
@@ -19,7 +19,10 @@
     private static final double RELIEF_AT = 0.92;
 
     /** Up to this share of its target a serving task may be brought by the next best-effort task. */
-    private static final double LOG_ROOM_UP_TO = Math.log(0.85);
+    private static final double LOG_ROOM_UP_TO = Math.log(0.9);
+
+    /** How long a serving task may be over its target before all best-effort tasks leave; half of what is allowed. */
+    private static final long LONGEST_OVER_TARGET_NANOS = TimeUnit.MILLISECONDS.toNanos(2500);
 
     /** A task that raises the logarithm of a latency by less is not worth moving. */
     private static final double LEAST_HARM = 0.15;
@@ -30,7 +33,7 @@
     private static final double MAX_RATIO = 4;
 
     /** A task that raises the logarithm of a latency by less is taken as harmless: gauges are not exacter. */
-    private static final double HARMLESS = 0.12;
+    private static final double HARMLESS = 0.15;
 
     /** The processor time that counts as one unit of disturbance, in millicores. */
     private static final double UNIT_MILLICORES = 500;
@@ -81,7 +84,7 @@
         for (Resident resident : residents) {
             boolean candidate =
                     resident.step().bestEffort() && !entry.stopping().contains(resident.run());
-            double harm = candidate ? harm(worst.get(), resident) : 0;
+            double harm = candidate ? harm(worst.get(), resident, now) : 0;
             if (harm > most) {
                 guilty = resident;
                 most = harm;
@@ -93,6 +96,25 @@
         return Optional.ofNullable(guilty);
     }
 
+    /**
+     * Tells whether a serving task has been over its target for so long that no best-effort task may stay beside it.
+     *
+     * <p>This holds whatever the model says: it is what protects users from what the model has wrong.
+     */
+    static boolean overdue(List<Resident> residents, long now) {
+        for (Resident resident : residents) {
+            if (resident.atWork() && resident.observed().overTargetSince(now) > LONGEST_OVER_TARGET_NANOS) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Returns the pairs that the model knows, for a log line. */
+    String describe(long now) {
+        return model.describe(now);
+    }
+
     /** Tells whether a worker's serving tasks bear another best-effort task, also at the next peak of their load. */
     boolean bears(List<Resident> residents, JobStep step, long now) {
         double units = step.need().millicores() / UNIT_MILLICORES;
@@ -106,9 +128,12 @@
 
     private boolean bears(Resident serving, JobStep step, double units, long now) {
         String image = serving.step().image();
-        double rise = units * model.rise(image, step.image(), 0);
+        double rise = units * model.rise(image, step.image(), now);
         double present = serving.atWork() ? serving.logRatio() : model.level(serving.job());
-        if (!model.knows(image, step.image())) {
+        if (present > LOG_ROOM_UP_TO) {
+            return false;
+        }
+        if (!model.knows(image, step.image(), now)) {
             return present + rise <= LOG_ROOM_UP_TO;
         }
         return rise <= HARMLESS || Math.max(present, model.peak(serving.job(), now)) + rise <= LOG_ROOM_UP_TO;
@@ -119,9 +144,9 @@
         model.forget(job.value());
     }
 
-    private double harm(Resident serving, Resident bestEffort) {
+    private double harm(Resident serving, Resident bestEffort, long now) {
         double units = Math.max(1, bestEffort.observed().gauge() / UNIT_MILLICORES);
-        return units * model.rise(serving.step().image(), bestEffort.step().image(), 0);
+        return units * model.rise(serving.step().image(), bestEffort.step().image(), now);
     }
 
     private static Optional<Resident> worst(List<Resident> residents) {
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/JobScheduler.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/JobScheduler.java
@@ -36,6 +36,9 @@
     /** How many reports a second all workers together send when none has news. */
     private static final int REPORTS_PER_SECOND = 300;
 
+    /** How often what was learned of images is logged. */
+    private static final long DESCRIBE_NANOS = TimeUnit.SECONDS.toNanos(10);
+
     private static final long MIN_REPORT_MILLIS = 100;
     private static final long MAX_REPORT_MILLIS = 1000;
 
@@ -51,6 +54,7 @@
     private final Map<TaskKey, Set<WorkerId>> failedOn = new HashMap<>();
     private final Map<JobId, Long> endedNanos = new HashMap<>();
     private long begunNanos;
+    private long describedNanos;
 
     private JobScheduler(JobTable table, SchedulerTimes times, SchedulerEvents events) {
         this.table = table;
@@ -149,6 +153,10 @@
         planLosses(plan, now);
         planStarts(plan, now, epochMillis);
         planForgetting(plan, now);
+        if (now - describedNanos > DESCRIBE_NANOS) {
+            describedNanos = now;
+            events.learned(disturbance.describe(now));
+        }
         return plan;
     }
 
@@ -174,6 +182,14 @@
     }
 
     private void relieve(WorkerEntry entry, List<Disturbance.Resident> residents, long now) {
+        for (Disturbance.Resident resident : residents) {
+            if (resident.step().serves()) {
+                resident.observed().noteOverTarget(resident.atWork() && resident.ratio() >= 1, now);
+            }
+        }
+        if (Disturbance.overdue(residents, now)) {
+            takeOffBestEffort(entry, residents);
+        }
         disturbance.relief(entry, residents, now).ifPresent(resident -> {
             entry.stopping().add(resident.run());
             avoid(resident.run().task(), entry.id());
@@ -181,6 +197,14 @@
         });
     }
 
+    private void takeOffBestEffort(WorkerEntry entry, List<Disturbance.Resident> residents) {
+        for (Disturbance.Resident resident : residents) {
+            if (resident.step().bestEffort() && entry.stopping().add(resident.run())) {
+                events.stopping(resident.run(), entry.life(), "beside-overdue-serving-task");
+            }
+        }
+    }
+
     private Optional<JobStep> step(TaskKey task) {
         return table.find(task.job())
                 .filter(job -> job.holds(task))
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/SchedulerEvents.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/SchedulerEvents.java
@@ -54,6 +54,13 @@
      */
     void ended(WorkerReport.EndedRun end, WorkerLife worker);
 
+    /**
+     * Tells from time to time what was learned of images that disturb each other.
+     *
+     * @param pairs the pairs, with the rise of the logarithm of a latency in thousandths a unit
+     */
+    void learned(String pairs);
+
     /**
      * A job has ended.
      *
