--- a/waxwinghead-coordination/src/test/java/dev/waxwinghead/coordination/consensus/ReplicaCoreTests.java
+++ b/waxwinghead-coordination/src/test/java/dev/waxwinghead/coordination/consensus/ReplicaCoreTests.java
@@ -89,6 +89,70 @@
         assertThrows(MalformedMessageException.class, () -> MessageCodec.decode(bytes));
     }
 
+    @Test
+    void resignedLeaderIsReplacedWithoutWaitingForItsSilence() {
+        elect();
+        first.resign();
+        exchange();
+        assertThat(first.isLeader()).isFalse();
+        now += SETTINGS.heartbeatInterval().toNanos();
+        second.tick(now);
+        exchange();
+        assertThat(second.isLeader()).isTrue();
+    }
+
+    @Test
+    void learnerThatHasCaughtUpTakesTheVoteOfASilentVoter() {
+        elect();
+        HostId host = HostId.of("e3");
+        ReplicaId replica = ReplicaId.of("r3");
+        ReplicaCore third = core(replica);
+        first.join(new Member(host, replica, "a:3", false));
+        exchange(third);
+        first.balanceVoters(3);
+        exchange(third);
+        assertThat(first.membership().isVoter(replica)).isTrue();
+        assertThat(first.membership().voters()).hasSize(3);
+    }
+
+    @Test
+    void silentVoterLosesItsVoteOnceAnotherHasIt() {
+        elect();
+        ReplicaId replica = ReplicaId.of("r3");
+        ReplicaCore third = core(replica);
+        first.join(new Member(HostId.of("e3"), replica, "a:3", false));
+        exchange(third);
+        first.balanceVoters(1);
+        exchange(third);
+        assertThat(first.membership().voters()).hasSize(1);
+        assertThat(first.membership().isVoter(R1)).isTrue();
+    }
+
+    @Test
+    void resignationOfAnEarlierLeaderIsPassedOver() {
+        elect();
+        second.receive(HostId.of("e3"), new Message.Resignation(new Header(7, ReplicaId.of("r3"), R2, second.term())));
+        assertThat(second.leader().isPresent()).isTrue();
+    }
+
+    private void exchange() {
+        for (int i = 0; i < 10; i++) {
+            settle(first).forEach(outbound -> second.receive(E1, outbound.message()));
+            settle(second).forEach(outbound -> first.receive(HostId.of("e2"), outbound.message()));
+        }
+    }
+
+    private void exchange(ReplicaCore third) {
+        for (int i = 0; i < 10; i++) {
+            settle(first).forEach(outbound -> {
+                second.receive(E1, outbound.message());
+                third.receive(E1, outbound.message());
+            });
+            settle(second).forEach(outbound -> first.receive(HostId.of("e2"), outbound.message()));
+            settle(third).forEach(outbound -> first.receive(HostId.of("e3"), outbound.message()));
+        }
+    }
+
     private void elect() {
         first.form(7, MEMBERS);
         now++;
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/interference/PairwiseDisturbance.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/interference/PairwiseDisturbance.java
@@ -23,10 +23,10 @@
     private static final double PRIOR_RISE_VARIANCE = 0.01;
 
     /** What an image does changes far more slowly than load. */
-    private static final double RISE_AGEING_PER_SECOND = 0.00005;
+    private static final double RISE_AGEING_PER_SECOND = 0.00002;
 
     /** After how long without a measurement a rise has gone most of the way back to what is expected of any pair. */
-    private static final double RISE_MEMORY_SECONDS = 25;
+    private static final double RISE_MEMORY_SECONDS = 120;
 
     /** Below this variance a rise is known: some seconds beside each other. */
     private static final double KNOWN_VARIANCE = 0.0015;
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/Disturbance.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/Disturbance.java
@@ -19,7 +19,7 @@
     private static final double RELIEF_AT = 0.92;
 
     /** Up to this share of its target a serving task may be brought by the next best-effort task. */
-    private static final double LOG_ROOM_UP_TO = Math.log(0.9);
+    private static final double LOG_ROOM_UP_TO = Math.log(0.85);
 
     /** How long a serving task may be over its target before all best-effort tasks leave; half of what is allowed. */
     private static final long LONGEST_OVER_TARGET_NANOS = TimeUnit.MILLISECONDS.toNanos(2500);
@@ -33,7 +33,7 @@
     private static final double MAX_RATIO = 4;
 
     /** A task that raises the logarithm of a latency by less is taken as harmless: gauges are not exacter. */
-    private static final double HARMLESS = 0.15;
+    private static final double HARMLESS = 0.12;
 
     /** The processor time that counts as one unit of disturbance, in millicores. */
     private static final double UNIT_MILLICORES = 500;
--- /dev/null
+++ b/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/interference/PairwiseDisturbanceTests.java
@@ -0,0 +1,49 @@
+package dev.waxwinghead.scheduling.interference;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+class PairwiseDisturbanceTests {
+    private static final double UNITS = 6;
+
+    private final PairwiseDisturbance model = PairwiseDisturbance.create();
+    private long now;
+
+    @Test
+    void tellsAHarmfulImageFromAHarmlessOneBesideASwingingLoad() {
+        for (int i = 0; i < 80; i++) {
+            now += TimeUnit.MILLISECONDS.toNanos(250);
+            double load = -0.8 + 0.6 * Math.sin(now / 20e9 * 2 * Math.PI);
+            model.learn("job", "serving", Map.of(), load, now);
+            model.learn("job", "serving", Map.of("harmless", UNITS), load, now);
+            model.learn("job", "serving", Map.of("harmful", UNITS), load + 1.2, now);
+        }
+        assertThat(model.rise("serving", "harmful", now) * UNITS).isWithin(0.4).of(1.2);
+        assertThat(model.rise("serving", "harmless", now) * UNITS).isLessThan(0.12);
+        assertThat(model.knows("serving", "harmful", now)).isTrue();
+    }
+
+    @Test
+    void followsTheLevelOfAJob() {
+        for (int i = 0; i < 20; i++) {
+            now += TimeUnit.MILLISECONDS.toNanos(250);
+            model.learn("job", "serving", Map.of(), -0.2, now);
+        }
+        assertThat(model.level("job")).isWithin(0.1).of(-0.2);
+    }
+
+    @Test
+    void forgetsWhatItHasNotSeenForLong() {
+        for (int i = 0; i < 40; i++) {
+            now += TimeUnit.MILLISECONDS.toNanos(250);
+            model.learn("job", "serving", Map.of("other", UNITS), 0.6, now);
+        }
+        double learned = model.rise("serving", "other", now);
+        long later = now + TimeUnit.SECONDS.toNanos(100);
+        assertThat(model.rise("serving", "other", later)).isLessThan(learned);
+        assertThat(model.knows("serving", "other", later)).isFalse();
+    }
+}
--- /dev/null
+++ b/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobSchedulerTests.java
@@ -0,0 +1,277 @@
+package dev.waxwinghead.scheduling.job;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import dev.waxwinghead.model.id.HostId;
+import dev.waxwinghead.model.id.JobId;
+import dev.waxwinghead.scheduling.job.WorkerReport.EndedRun;
+import dev.waxwinghead.scheduling.job.WorkerReport.ReportedEnd;
+import dev.waxwinghead.scheduling.job.WorkerReport.RunningTask;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class JobSchedulerTests {
+    private static final SchedulerTimes TIMES = new SchedulerTimes(
+            Duration.ofSeconds(10), Duration.ofSeconds(1), Duration.ofSeconds(120), Duration.ofMillis(20));
+    private static final WorkerLife W1 = Jobs.life("w1", 1);
+    private static final WorkerLife W22 = Jobs.life("w22", 1);
+
+    private final JobTable table = JobTable.create();
+    private final List<String> stops = new ArrayList<>();
+    private final JobScheduler scheduler = JobScheduler.of(table, TIMES, new RecordedEvents(stops));
+    private long index;
+    private long now = TimeUnit.SECONDS.toNanos(1000);
+    private long sequence;
+
+    @BeforeEach
+    void acquire() {
+        table.apply(++index, new JobCommand.Acquire(HostId.of("h1")));
+        scheduler.begin(now);
+    }
+
+    @Nested
+    class Orders {
+        @Test
+        void holdAStartOnlyOnceItIsCommitted() {
+            accept("j1", Jobs.step(1, List.of()));
+            report(W1);
+            List<JobTransition> plan = plan();
+            assertThat(report(W1).starts()).isEmpty();
+            commit(plan);
+            assertThat(report(W1).starts()).hasSize(1);
+        }
+
+        @Test
+        void repeatAStartUntilTheWorkerListsIt() {
+            accept("j1", Jobs.step(1, List.of()));
+            startAll(W1);
+            assertThat(report(W1).starts()).hasSize(1);
+            assertThat(report(W1).starts()).hasSize(1);
+            assertThat(report(W1, running("j1", 0, 1, 10)).starts()).isEmpty();
+        }
+
+        @Test
+        void acknowledgeAnEndOnlyOnceItIsCommitted() {
+            accept("j1", Jobs.step(1, List.of()));
+            startAll(W1);
+            EndedRun end = ended(1, "j1", 0, 1, ReportedEnd.COMPLETED);
+            assertThat(report(W1, end).acknowledged()).isEqualTo(0);
+            commit(plan());
+            assertThat(report(W1, end).acknowledged()).isEqualTo(1);
+        }
+
+        @Test
+        void stopWhatTheTableDoesNotHold() {
+            assertThat(report(W1, running("j9", 0, 1, 10)).stops()).containsExactly(Jobs.run("j9", 0, 0, 1));
+        }
+
+        @Test
+        void stopTheTasksOfACanceledJob() {
+            accept("j1", Jobs.step(1, List.of()));
+            startAll(W1);
+            table.apply(++index, new JobCommand.Cancel(JobId.of("j1")));
+            WorkerOrders orders = report(W1, running("j1", 0, 1, 10));
+            assertThat(orders.stops()).containsExactly(Jobs.run("j1", 0, 0, 1));
+        }
+    }
+
+    @Nested
+    class Reports {
+        @Test
+        void areIgnoredWhenTheyComeLate() {
+            report(W1);
+            WorkerReport late = Jobs.report(W1, sequence, List.of(), List.of());
+            assertThat(scheduler.report(late, now)).isEqualTo(Optional.empty());
+        }
+
+        @Test
+        void ofAnEarlierLifeAreIgnored() {
+            scheduler.report(Jobs.report(Jobs.life("w1", 5), 1, List.of(), List.of()), now);
+            assertThat(scheduler.report(Jobs.report(W1, 9, List.of(), List.of()), now))
+                    .isEqualTo(Optional.empty());
+        }
+
+        @Test
+        void ofANewLifeEndAllRunsOfTheEarlierOne() {
+            accept("j1", Jobs.step(1, List.of()));
+            startAll(W1);
+            scheduler.report(Jobs.report(Jobs.life("w1", 5), 1, List.of(), List.of()), now);
+            commit(plan());
+            assertThat(table.runsOn(W1)).isEmpty();
+        }
+
+        @Test
+        void fromTheSameAddressEndAllRunsOfItsEarlierHolder() {
+            accept("j1", Jobs.step(1, List.of()));
+            startAll(W1);
+            String address = "10.0.0.1:802";
+            scheduler.report(Jobs.report(Jobs.life("x9", 5), 1, address, false, List.of(), List.of()), now);
+            commit(plan());
+            assertThat(table.runsOn(W1)).isEmpty();
+        }
+    }
+
+    @Nested
+    class Leases {
+        @Test
+        void keepARunFromStartingElsewhereUntilTheyHaveSurelyRunOut() {
+            accept("j1", Jobs.step(1, List.of()));
+            startAll(W1);
+            now += TimeUnit.MILLISECONDS.toNanos(10_199);
+            report(W22);
+            commit(plan());
+            assertThat(table.runsOn(W1)).hasSize(1);
+            now += TimeUnit.MILLISECONDS.toNanos(400);
+            commit(plan());
+            assertThat(table.runsOn(W1)).isEmpty();
+        }
+
+        @Test
+        void ofAPredecessorAreWaitedForAfterATakeOver() {
+            accept("j1", Jobs.step(1, List.of()));
+            startAll(W1);
+            now += TimeUnit.SECONDS.toNanos(30);
+            table.apply(++index, new JobCommand.Acquire(HostId.of("h2")));
+            scheduler.begin(now);
+            now += TimeUnit.MILLISECONDS.toNanos(11_100);
+            commit(plan());
+            assertThat(table.runsOn(W1)).hasSize(1);
+            now += TimeUnit.MILLISECONDS.toNanos(500);
+            commit(plan());
+            assertThat(table.runsOn(W1)).isEmpty();
+        }
+    }
+
+    @Nested
+    class Placement {
+        @Test
+        void neverCommitsMoreThanAWorkerHas() {
+            accept("j1", Jobs.step(7, List.of()));
+            startAll(W1);
+            assertThat(table.runsOn(W1)).hasSize(4);
+        }
+
+        @Test
+        void givesNothingToALeavingWorker() {
+            accept("j1", Jobs.step(1, List.of()));
+            scheduler.report(Jobs.report(W1, ++sequence, "10.0.0.1:802", true, List.of(), List.of()), now);
+            assertThat(plan()).isEmpty();
+        }
+
+        @Test
+        void movesATaskThatMakesNoProgress() {
+            accept("j1", Jobs.step(1, List.of()));
+            startAll(W1);
+            report(W1, running("j1", 0, 1, 10));
+            now += TimeUnit.SECONDS.toNanos(3);
+            assertThat(report(W1, running("j1", 0, 1, 10)).stops()).hasSize(1);
+            assertThat(stops).contains("no-progress");
+        }
+
+        @Test
+        void triesATaskThatFailedOnAnotherWorker() {
+            accept("j1", Jobs.step(1, List.of()));
+            startAll(W1);
+            report(W1, ended(1, "j1", 0, 1, ReportedEnd.FAILED));
+            report(W22);
+            commit(plan());
+            commit(plan());
+            assertThat(table.runsOn(W22)).hasSize(1);
+        }
+    }
+
+    @Nested
+    class Serving {
+        @Test
+        void overItsTargetForLongClearsItsWorkerOfBestEffort() {
+            accept("s1", Jobs.step(1, List.of(), true, false, 100));
+            accept("b1", Jobs.step(1, List.of(), false, true, 0));
+            startAll(W1);
+            for (int i = 0; i < 30; i++) {
+                now += TimeUnit.MILLISECONDS.toNanos(100);
+                RunningTask serving = new RunningTask(Jobs.run("s1", 0, 0, 1), "", 100, 110);
+                RunningTask batch = new RunningTask(Jobs.run("b1", 0, 0, 1), "", i, 0);
+                scheduler.report(Jobs.report(W1, ++sequence, List.of(serving, batch), List.of()), now);
+            }
+            assertThat(stops).contains("beside-overdue-serving-task");
+        }
+    }
+
+    private void accept(String id, JobStep step) {
+        table.apply(++index, Jobs.accept(id, step));
+    }
+
+    private void startAll(WorkerLife worker) {
+        report(worker);
+        commit(plan());
+    }
+
+    private List<JobTransition> plan() {
+        return scheduler.plan(now, 0);
+    }
+
+    private void commit(List<JobTransition> plan) {
+        table.apply(++index, new JobCommand.Advance(table.epoch(), plan));
+    }
+
+    private WorkerOrders report(WorkerLife worker) {
+        return scheduler
+                .report(Jobs.report(worker, ++sequence, List.of(), List.of()), now)
+                .orElseThrow();
+    }
+
+    private WorkerOrders report(WorkerLife worker, RunningTask running) {
+        return scheduler
+                .report(Jobs.report(worker, ++sequence, List.of(running), List.of()), now)
+                .orElseThrow();
+    }
+
+    private WorkerOrders report(WorkerLife worker, EndedRun ended) {
+        return scheduler
+                .report(Jobs.report(worker, ++sequence, List.of(), List.of(ended)), now)
+                .orElseThrow();
+    }
+
+    private static RunningTask running(String job, int task, int attempt, int percent) {
+        return new RunningTask(Jobs.run(job, 0, task, attempt), "", percent, 0);
+    }
+
+    private static EndedRun ended(long number, String job, int task, int attempt, ReportedEnd end) {
+        return new EndedRun(number, Jobs.run(job, 0, task, attempt), end, "");
+    }
+
+    /** Records why runs were stopped. */
+    private record RecordedEvents(List<String> stops) implements SchedulerEvents {
+        @Override
+        public void workerSeen(WorkerReport report) {}
+
+        @Override
+        public void workerGone(WorkerLife life, String reason) {}
+
+        @Override
+        public void reportPassedOver(WorkerReport report) {}
+
+        @Override
+        public void starting(RunKey run, WorkerLife worker, long epoch) {}
+
+        @Override
+        public void stopping(RunKey run, WorkerLife worker, String reason) {
+            stops.add(reason);
+        }
+
+        @Override
+        public void ended(EndedRun end, WorkerLife worker) {}
+
+        @Override
+        public void learned(String pairs) {}
+
+        @Override
+        public void jobEnded(JobRecord job) {}
+    }
+}
--- /dev/null
+++ b/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/Jobs.java
@@ -0,0 +1,79 @@
+package dev.waxwinghead.scheduling.job;
+
+import dev.waxwinghead.model.id.JobClassName;
+import dev.waxwinghead.model.id.JobId;
+import dev.waxwinghead.model.id.ServiceName;
+import dev.waxwinghead.model.id.WorkerId;
+import dev.waxwinghead.model.resource.Resources;
+import java.util.List;
+import java.util.Set;
+
+/** Makes jobs and reports for tests. */
+final class Jobs {
+    static final JobTerms TERMS = new JobTerms(JobClassName.of("quotes"), ServiceName.of("orders"), 0, 3, 1.5, 1000);
+
+    private Jobs() {}
+
+    static JobStep step(int count, List<Integer> after) {
+        return step(count, after, false, false, 0);
+    }
+
+    static JobStep step(int count, List<Integer> after, boolean lasting, boolean bestEffort, long targetMillis) {
+        return new JobStep(
+                count,
+                Resources.of(1000, 1000, 0),
+                1000,
+                after,
+                true,
+                false,
+                false,
+                "",
+                "",
+                0,
+                false,
+                lasting,
+                lasting ? "serving" : "batch",
+                targetMillis,
+                bestEffort,
+                0);
+    }
+
+    static JobCommand.Accept accept(String id, JobStep... steps) {
+        return new JobCommand.Accept(
+                new JobSubmission(JobId.of(id), "payload-" + id, List.of(steps), JobSchedule.ONCE), TERMS, 0);
+    }
+
+    static RunKey run(String job, int step, int index, int attempt) {
+        return new RunKey(new TaskKey(JobId.of(job), 0, step, index), attempt);
+    }
+
+    static WorkerLife life(String worker, long started) {
+        return new WorkerLife(WorkerId.of(worker), started);
+    }
+
+    static WorkerReport report(
+            WorkerLife life, long sequence, List<WorkerReport.RunningTask> running, List<WorkerReport.EndedRun> ended) {
+        return report(life, sequence, "10.0.0.1:80" + life.worker().value().length(), false, running, ended);
+    }
+
+    static WorkerReport report(
+            WorkerLife life,
+            long sequence,
+            String address,
+            boolean leaving,
+            List<WorkerReport.RunningTask> running,
+            List<WorkerReport.EndedRun> ended) {
+        return new WorkerReport(
+                life,
+                sequence,
+                ServiceName.of("orders"),
+                address,
+                Resources.of(4000, 100_000, 0),
+                Set.of("a", "rack-1"),
+                "rack-1",
+                leaving,
+                2000,
+                running,
+                ended);
+    }
+}
