--- a/waxwinghead-coordination/src/test/java/dev/waxwinghead/coordination/replica/Cluster.java
+++ b/waxwinghead-coordination/src/test/java/dev/waxwinghead/coordination/replica/Cluster.java
@@ -17,6 +17,7 @@
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BooleanSupplier;
 
 /** Runs replicas of a log of texts in this process. */
@@ -95,8 +96,14 @@
     }
 
     Host leader() {
-        await(() -> currentLeader().isPresent(), "a leader");
-        return currentLeader().orElseThrow();
+        AtomicReference<Host> found = new AtomicReference<>();
+        await(
+                () -> {
+                    currentLeader().ifPresent(found::set);
+                    return found.get() != null;
+                },
+                "a leader");
+        return found.get();
     }
 
     Optional<Host> currentLeader() {
