Let a host that ended before the group was formed still form it

The lowest seed, which alone forms the group, crashed at its start (code 134, a report of the Java machine that names native code) and came back with settings that no longer speak of a first start.

Change: a first start is noted in the data folder, synced, before the storage is opened. A host that lost its disk has no note and forms none.

Ruled out: letting any host form a group while all seeds answer that they know none; a host with a new disk could then form a second one.

Before: JobHostTests.isFormedThoughItsFounderEndedBefore finds no leader in 15 s.

--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobHost.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobHost.java
@@ -1,6 +1,7 @@
 package dev.waxwinghead.daemon.jobs;
 
 import dev.waxwinghead.coordination.journal.FileReplicaStorage;
+import dev.waxwinghead.coordination.journal.FoundingMark;
 import dev.waxwinghead.coordination.log.LogStatus;
 import dev.waxwinghead.coordination.peer.PeerChannel;
 import dev.waxwinghead.coordination.replica.ReplicaNode;
@@ -22,6 +23,7 @@
 import dev.waxwinghead.scheduling.job.WorkerOrders;
 import dev.waxwinghead.scheduling.job.WorkerReport;
 import io.micrometer.core.instrument.MeterRegistry;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -90,11 +92,16 @@
     private static JobHost compose(JobHostSettings settings, Ticker ticker, MeterRegistry meters, Closer closer) {
         JobSection jobs = new JobSection();
         JobClassSection classes = JobClassSection.create();
-        ReplicaStorage storage =
-                closer.register(FileReplicaStorage.open(settings.dataFolder().orElseThrow(), settings.cluster()));
+        Path folder = settings.dataFolder().orElseThrow();
+        boolean mayForm = FoundingMark.keep(folder, settings.firstStart());
+        ReplicaStorage storage = closer.register(FileReplicaStorage.open(folder, settings.cluster()));
         TcpPeerNetwork network = closer.register(PeerTimes.open(settings, ticker));
         ReplicaNode log = closer.register(ReplicaNode.start(
-                replicaSettings(settings), SectionedStateMachine.of(List.of(jobs, classes)), storage, network, ticker));
+                replicaSettings(settings, mayForm),
+                SectionedStateMachine.of(List.of(jobs, classes)),
+                storage,
+                network,
+                ticker));
         SharedState sharedState = LogSharedState.of(log);
         JobEngine engine = closer.register(new JobEngine(
                 settings.self(),
@@ -121,14 +128,14 @@
         return host;
     }
 
-    private static ReplicaSettings replicaSettings(JobHostSettings settings) {
+    private static ReplicaSettings replicaSettings(JobHostSettings settings, boolean mayForm) {
         List<HostId> founders = new ArrayList<>(settings.seeds().get());
         if (founders.isEmpty()) {
             founders.add(settings.self());
         }
         return ReplicaSettings.of(settings.self(), settings.self() + ":" + settings.peerPort(), founders)
                 .withMaxCommandBytes(MAX_COMMAND_BYTES)
-                .withVoting(ReplicaSettings.Voting.automatic(settings.voters(), settings.mayForm()));
+                .withVoting(ReplicaSettings.Voting.automatic(settings.voters(), mayForm));
     }
 
     private void serve(TcpPeerNetwork network) {
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobHostSettings.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobHostSettings.java
@@ -17,7 +17,7 @@
  * @param peerPort the peer port, the same on all hosts
  * @param seeds returns hosts that keep the log, as the settings name them now
  * @param dataFolder where the log is kept; empty on a host that keeps none
- * @param mayForm whether this host may take part in forming a group that does not exist yet
+ * @param firstStart whether all hosts start for the first time, so that a group may be formed
  * @param voters how many hosts vote, odd
  * @param times the times that the scheduler keeps to
  */
@@ -28,6 +28,6 @@
         int peerPort,
         Supplier<List<HostId>> seeds,
         Optional<Path> dataFolder,
-        boolean mayForm,
+        boolean firstStart,
         int voters,
         SchedulerTimes times) {}
--- /dev/null
+++ b/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/jobs/JobHostTests.java
@@ -0,0 +1,97 @@
+package dev.waxwinghead.daemon.jobs;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import dev.waxwinghead.model.id.DataCentreId;
+import dev.waxwinghead.model.id.HostId;
+import dev.waxwinghead.model.lifecycle.Closer;
+import dev.waxwinghead.model.time.Ticker;
+import dev.waxwinghead.scheduling.job.SchedulerTimes;
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+class JobHostTests {
+    private static final List<HostId> SEEDS =
+            List.of(HostId.of("127.0.0.11"), HostId.of("127.0.0.12"), HostId.of("127.0.0.13"));
+
+    private final Closer closer = Closer.create();
+
+    @TempDir
+    private Path folder;
+
+    private int peerPort;
+
+    @BeforeEach
+    void chooseAPort() throws IOException {
+        try (ServerSocket socket =
+                new ServerSocket(0, 1, InetAddress.getByName(SEEDS.get(0).value()))) {
+            peerPort = socket.getLocalPort();
+        }
+    }
+
+    @AfterEach
+    void closeHosts() {
+        closer.close();
+    }
+
+    private JobHost start(int number, boolean firstStart) {
+        return JobHost.start(settings(number, firstStart), Ticker.system(), new SimpleMeterRegistry());
+    }
+
+    private JobHostSettings settings(int number, boolean firstStart) {
+        HostId self = SEEDS.get(number);
+        SchedulerTimes times = new SchedulerTimes(
+                Duration.ofSeconds(10), Duration.ofSeconds(2), Duration.ofSeconds(60), Duration.ofMillis(100));
+        return new JobHostSettings(
+                "test",
+                self,
+                DataCentreId.of("dc-" + number),
+                peerPort,
+                () -> SEEDS,
+                Optional.of(folder.resolve(self.value())),
+                firstStart,
+                SEEDS.size(),
+                times);
+    }
+
+    private static boolean findsLeader(JobHost host) throws InterruptedException {
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(15);
+        while (host.leader().isEmpty() && System.nanoTime() - end < 0) {
+            Thread.sleep(50);
+        }
+        return host.leader().isPresent();
+    }
+
+    @Nested
+    class FirstGroup {
+        @Test
+        void isFormedThoughItsFounderEndedBefore() throws InterruptedException {
+            start(0, true).close();
+            JobHost founder = closer.register(start(0, false));
+            closer.register(start(1, true));
+            closer.register(start(2, true));
+            assertThat(findsLeader(founder)).isTrue();
+        }
+
+        @Test
+        void isNotFormedByAHostThatLostItsDisk() throws InterruptedException {
+            JobHost founder = closer.register(start(0, false));
+            closer.register(start(1, true));
+            closer.register(start(2, true));
+            Thread.sleep(2000);
+            assertThat(founder.leader()).isEmpty();
+        }
+    }
+}
