Call a job call unknown once any attempt may have run

Cause: JobGateway passed a refusal (429, 404, 400, 409, 413) of a later attempt on to the caller although an earlier attempt may have been accepted; "has not run" must be true. A read that only got lost answers was called unknown (502 without a time to come back) though a read changes nothing. Reasons were passed on with their remedy, so a message named two.

--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobCall.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobCall.java
@@ -13,6 +13,15 @@
      */
     JobTarget target();
 
+    /**
+     * Tells whether the call may change anything.
+     *
+     * @return false for a call that only reads
+     */
+    default boolean changes() {
+        return true;
+    }
+
     /**
      * Submits a job. The same call may be sent again.
      *
@@ -33,7 +42,12 @@
      *
      * @param target the class and the job's id, or the class alone
      */
-    record Read(JobTarget target) implements JobCall {}
+    record Read(JobTarget target) implements JobCall {
+        @Override
+        public boolean changes() {
+            return false;
+        }
+    }
 
     /**
      * Cancels a job.
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobGateway.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobGateway.java
@@ -2,7 +2,6 @@
 
 import dev.waxwinghead.coordination.peer.PeerChannel;
 import dev.waxwinghead.coordination.peer.PeerNetwork;
-import dev.waxwinghead.coordination.tcp.TcpPeerNetwork;
 import dev.waxwinghead.daemon.log.Event;
 import dev.waxwinghead.daemon.part.PeriodicTask;
 import dev.waxwinghead.model.error.ErrorKind;
@@ -80,7 +79,10 @@
      */
     public static JobGateway start(JobHostSettings settings, Ticker ticker) {
         Closer closer = Closer.create();
-        TcpPeerNetwork network = closer.register(PeerTimes.open(settings, ticker));
+        return start(settings, ticker, closer.register(PeerTimes.open(settings, ticker)), closer);
+    }
+
+    static JobGateway start(JobHostSettings settings, Ticker ticker, PeerNetwork network, Closer closer) {
         ScheduledExecutorService timer =
                 Executors.newSingleThreadScheduledExecutor(action -> new Thread(action, "job-gateway"));
         closer.register(timer::shutdownNow);
@@ -104,11 +106,11 @@
      *
      * @param call the call
      * @param deadline when the caller stops waiting
-     * @return the answer; fails with kind {@code UNAVAILABLE} if the call surely had no effect, and with
-     *     {@code UNKNOWN_OUTCOME} if it may have had
+     * @return the answer; fails with kind {@code UNKNOWN_OUTCOME} if any attempt may have had an effect, and with
+     *     {@code UNAVAILABLE} or the kind of the scheduler's refusal if the call surely had none
      */
     public CompletableFuture<JobAnswer> call(JobCall call, Deadline deadline) {
-        Attempt attempt = new Attempt(JobCallCodec.pack(call), deadline, Deadline.after(PATIENCE, ticker));
+        Attempt attempt = new Attempt(call, deadline, Deadline.after(PATIENCE, ticker));
         attempt.send();
         return attempt.result;
     }
@@ -126,11 +128,7 @@
     }
 
     private void learn(HostId from, HostStatus status, Throwable failure) {
-        if (failure != null) {
-            forgetLeader(from);
-            return;
-        }
-        if (status.leader().isEmpty()) {
+        if (failure != null || status.leader().isEmpty()) {
             forgetLeader(from);
             return;
         }
@@ -184,13 +182,15 @@
     /** Sends one call until it is answered or patience runs out. */
     private final class Attempt {
         private final byte[] request;
+        private final boolean changes;
         private final Deadline deadline;
         private final Deadline patience;
         private final CompletableFuture<JobAnswer> result = new CompletableFuture<>();
         private volatile boolean mayHaveRun;
 
-        Attempt(byte[] request, Deadline deadline, Deadline patience) {
-            this.request = request;
+        Attempt(JobCall call, Deadline deadline, Deadline patience) {
+            this.request = JobCallCodec.pack(call);
+            this.changes = call.changes();
             this.deadline = deadline;
             this.patience = patience;
         }
@@ -226,31 +226,34 @@
 
         private void failed(HostId target, WaxwingheadException failure) {
             ErrorKind kind = failure.kind();
-            if (kind == ErrorKind.UNKNOWN_OUTCOME) {
-                mayHaveRun = true;
-                forgetLeader(target);
-                again(failure.getMessage());
-            } else if (kind == ErrorKind.UNAVAILABLE || kind == ErrorKind.NO_MAJORITY) {
+            boolean unknown = kind == ErrorKind.UNKNOWN_OUTCOME;
+            mayHaveRun |= unknown && changes;
+            if (unknown || kind == ErrorKind.UNAVAILABLE || kind == ErrorKind.NO_MAJORITY) {
                 forgetLeader(target);
-                again(failure.getMessage());
+                again(failure.reason());
             } else {
-                result.completeExceptionally(failure);
+                result.completeExceptionally(mayHaveRun ? unknownOutcome(failure.reason()) : failure);
             }
         }
 
         private void again(String reason) {
             if (patience.passed(ticker) || deadline.passed(ticker)) {
-                result.completeExceptionally(givenUp(reason));
+                result.completeExceptionally(mayHaveRun ? unknownOutcome(reason) : noEffect(reason));
                 return;
             }
             Future<?> unused = timer.schedule(this::send, PAUSE_MILLIS, TimeUnit.MILLISECONDS);
         }
 
-        private WaxwingheadException givenUp(String reason) {
-            return mayHaveRun
-                    ? WaxwingheadException.of(ErrorKind.UNKNOWN_OUTCOME, reason, "send the call again with the same id")
-                    : WaxwingheadException.of(
-                            ErrorKind.UNAVAILABLE, reason, "the call had no effect; send it again in a second");
+        private WaxwingheadException unknownOutcome(String reason) {
+            return WaxwingheadException.of(
+                    ErrorKind.UNKNOWN_OUTCOME,
+                    "an attempt of the call got no answer, the last one: " + reason,
+                    "send the call again with the same id");
+        }
+
+        private WaxwingheadException noEffect(String reason) {
+            return WaxwingheadException.of(
+                    ErrorKind.UNAVAILABLE, reason, "the call had no effect; send it again in a second");
         }
     }
 }
--- /dev/null
+++ b/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/jobs/JobGatewayTests.java
@@ -0,0 +1,158 @@
+package dev.waxwinghead.daemon.jobs;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import dev.waxwinghead.coordination.peer.PeerAddress;
+import dev.waxwinghead.coordination.peer.PeerChannel;
+import dev.waxwinghead.coordination.peer.PeerNetwork;
+import dev.waxwinghead.model.error.ErrorKind;
+import dev.waxwinghead.model.error.WaxwingheadException;
+import dev.waxwinghead.model.id.DataCentreId;
+import dev.waxwinghead.model.id.HostId;
+import dev.waxwinghead.model.lifecycle.Closer;
+import dev.waxwinghead.model.time.Deadline;
+import dev.waxwinghead.model.time.Ticker;
+import dev.waxwinghead.scheduling.job.SchedulerTimes;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Collection;
+import java.util.List;
+import java.util.Optional;
+import java.util.Queue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+class JobGatewayTests {
+    private static final HostId SEED = HostId.of("10.0.0.1");
+    private static final JobTarget TARGET = new JobTarget("seats.test", "/quote/7");
+    private static final JobCall CANCEL = new JobCall.Cancel(TARGET);
+    private static final JobCall READ = new JobCall.Read(TARGET);
+
+    private final Closer closer = Closer.create();
+    private final ScriptedNetwork network = new ScriptedNetwork();
+    private final JobGateway gateway = JobGateway.start(settings(), Ticker.system(), network, closer);
+
+    @AfterEach
+    void closeGateway() {
+        gateway.close();
+    }
+
+    private static JobHostSettings settings() {
+        SchedulerTimes times = new SchedulerTimes(
+                Duration.ofSeconds(10), Duration.ofSeconds(2), Duration.ofSeconds(60), Duration.ofMillis(100));
+        return new JobHostSettings(
+                "test",
+                HostId.of("10.0.0.9"),
+                DataCentreId.of("dc-1"),
+                7000,
+                () -> List.of(SEED),
+                Optional.empty(),
+                false,
+                3,
+                times);
+    }
+
+    private WaxwingheadException failureOf(JobCall call) {
+        CompletableFuture<JobAnswer> answer =
+                gateway.call(call, Deadline.after(Duration.ofSeconds(3), Ticker.system()));
+        return WaxwingheadException.from(assertThrows(CompletionException.class, answer::join));
+    }
+
+    @Nested
+    class CallsThatChange {
+        @ParameterizedTest
+        @EnumSource(names = {"LIMITED", "NOT_FOUND", "INVALID_INPUT", "CONFLICT", "TOO_LARGE"})
+        void areNotCalledRefusedOnceAnAttemptMayHaveRun(ErrorKind refusal) {
+            network.fail(ErrorKind.UNKNOWN_OUTCOME);
+            network.fail(refusal);
+            assertThat(failureOf(CANCEL).kind()).isEqualTo(ErrorKind.UNKNOWN_OUTCOME);
+        }
+
+        @Test
+        void areNotCalledUnavailableOnceAnAttemptMayHaveRun() {
+            network.fail(ErrorKind.UNKNOWN_OUTCOME);
+            network.failAlways(ErrorKind.UNAVAILABLE);
+            assertThat(failureOf(CANCEL).kind()).isEqualTo(ErrorKind.UNKNOWN_OUTCOME);
+        }
+
+        @Test
+        void areCalledRefusedWhereNoAttemptCanHaveRun() {
+            network.fail(ErrorKind.UNAVAILABLE);
+            network.fail(ErrorKind.LIMITED);
+            assertThat(failureOf(CANCEL).kind()).isEqualTo(ErrorKind.LIMITED);
+        }
+
+        @Test
+        void nameTheRemedyOnce() {
+            network.failAlways(ErrorKind.UNAVAILABLE);
+            assertThat(failureOf(CANCEL))
+                    .hasMessageThat()
+                    .isEqualTo("unavailable happened; the call had no effect; send it again in a second");
+        }
+    }
+
+    @Nested
+    class CallsThatOnlyRead {
+        @Test
+        void areCalledUnavailableThoughAnAttemptMayHaveRun() {
+            network.failAlways(ErrorKind.UNKNOWN_OUTCOME);
+            assertThat(failureOf(READ).kind()).isEqualTo(ErrorKind.UNAVAILABLE);
+        }
+    }
+
+    /** Answers calls about jobs with the given failures, one after another. */
+    private static final class ScriptedNetwork implements PeerNetwork {
+        private final Queue<ErrorKind> failures = new ArrayDeque<>();
+        private Optional<ErrorKind> always = Optional.empty();
+
+        synchronized void fail(ErrorKind kind) {
+            failures.add(kind);
+        }
+
+        synchronized void failAlways(ErrorKind kind) {
+            always = Optional.of(kind);
+        }
+
+        @Override
+        public synchronized CompletableFuture<byte[]> call(
+                HostId to, PeerChannel channel, byte[] request, Deadline deadline) {
+            if (channel != PeerChannel.JOBS) {
+                return CompletableFuture.completedFuture(new HostStatus(Optional.of(SEED), List.of(SEED), true).pack());
+            }
+            ErrorKind kind = failures.isEmpty() ? always.orElseThrow() : failures.remove();
+            return CompletableFuture.failedFuture(
+                    WaxwingheadException.of(kind, kind.code() + " happened", "do as the test says"));
+        }
+
+        @Override
+        public HostId self() {
+            return HostId.of("10.0.0.9");
+        }
+
+        @Override
+        public void send(HostId to, PeerChannel channel, byte[] message) {}
+
+        @Override
+        public void onMessage(PeerChannel channel, MessageHandler handler) {}
+
+        @Override
+        public void onCall(PeerChannel channel, CallHandler handler) {}
+
+        @Override
+        public void setPeers(Collection<PeerAddress> peers) {}
+
+        @Override
+        public List<PeerStatus> peers() {
+            return List.of(new PeerStatus(SEED, DataCentreId.of("dc-1"), true, 0));
+        }
+
+        @Override
+        public void close() {}
+    }
+}
--- a/waxwinghead-model/src/main/java/dev/waxwinghead/model/error/WaxwingheadException.java
+++ b/waxwinghead-model/src/main/java/dev/waxwinghead/model/error/WaxwingheadException.java
@@ -16,12 +16,16 @@
     /** What went wrong, as a type. */
     private final ErrorKind kind;
 
+    /** What happened, without the remedy. */
+    private final String reason;
+
     /** What the reader can do about it. */
     private final String remedy;
 
     private WaxwingheadException(ErrorKind kind, String message, String remedy, Throwable cause) {
         super(message + "; " + remedy, cause);
         this.kind = kind;
+        this.reason = message;
         this.remedy = remedy;
     }
 
@@ -77,6 +81,15 @@
         return kind;
     }
 
+    /**
+     * Returns what happened, without the remedy: to be told within another failure, which has its own.
+     *
+     * @return the reason, never null
+     */
+    public String reason() {
+        return reason;
+    }
+
     /**
      * Returns what to do about the failure.
      *
