Split the job scheduler into its answers to reports and its plans

The parts are ReportAnswers, TransitionPlanner and SchedulerState; the three places that marked a run to be stopped are one, and TaskPlacer loses a table that nothing read. Nothing else changes; JobSchedulerTests as before.

--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/StartPlan.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/StartPlan.java
@@ -1,38 +1,21 @@
 package dev.waxwinghead.scheduling.job;
 
-import dev.waxwinghead.model.id.JobId;
 import dev.waxwinghead.model.id.WorkerId;
-import dev.waxwinghead.scheduling.health.WorkerHealth;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 
 /** Collects the starts of one round, job by job. */
 final class StartPlan {
-    private final JobTable table;
+    private final SchedulerState state;
     private final TaskPlacer placer;
-    private final WorkerHealth<JobId> health;
-    private final Map<TaskKey, Set<WorkerId>> failedOn;
-    private final SchedulerTimes times;
-    private final SchedulerEvents events;
     private final List<JobTransition> transitions = new ArrayList<>();
 
-    StartPlan(
-            JobTable table,
-            TaskPlacer placer,
-            WorkerHealth<JobId> health,
-            Map<TaskKey, Set<WorkerId>> failedOn,
-            SchedulerTimes times,
-            SchedulerEvents events) {
-        this.table = table;
+    StartPlan(SchedulerState state, TaskPlacer placer) {
+        this.state = state;
         this.placer = placer;
-        this.health = health;
-        this.failedOn = failedOn;
-        this.times = times;
-        this.events = events;
     }
 
     List<JobTransition> transitions() {
@@ -42,7 +25,7 @@
     void add(JobRecord job, long epochMillis) {
         for (int occurrence = 0; occurrence < job.occurrences().size(); occurrence++) {
             long due = job.submission().schedule().dueEpochMillis(occurrence);
-            if (due > 0 && epochMillis < due + times.dueSlack().toMillis()) {
+            if (due > 0 && epochMillis < due + state.times().dueSlack().toMillis()) {
                 return;
             }
             for (int position = 0; position < job.submission().steps().size(); position++) {
@@ -99,14 +82,13 @@
     }
 
     private Optional<WorkerEntry> place(JobRecord job, StepRecord step, TaskKey key, Map<WorkerId, Integer> perWorker) {
-        return placer.place(
-                job.terms().service(), job.id(), step.step(), perWorker, failedOn.getOrDefault(key, Set.of()));
+        return placer.place(job.terms().service(), job.id(), step.step(), perWorker, state.avoided(key));
     }
 
     private void start(RunKey run, WorkerEntry worker) {
         transitions.add(new JobTransition.Started(run, worker.life()));
-        health.started(worker.id());
-        events.starting(run, worker.life(), table.epoch());
+        state.health().started(worker.id());
+        state.events().starting(run, worker.life(), state.table().epoch());
     }
 
     private static Map<WorkerId, Integer> perWorker(StepRecord step) {
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TaskPlacer.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TaskPlacer.java
@@ -16,11 +16,22 @@
     /** Best-effort tasks may ask for this many times what is left unused: few of them use all they ask for. */
     private static final double BEST_EFFORT_SHARE = 0.6;
 
+    /** Stands below any score that free room can give, so that an avoided worker is chosen last. */
+    private static final double AVOIDED = 1e6;
+
+    /**
+     * Weighs serving tasks of the same image on a worker against little free room: each image bears other best-effort
+     * tasks, so workers with few images bear more, and those without serving tasks bear all.
+     */
+    private static final double ALIKE = 2;
+
+    /** Outweighs any free room: work away from its data takes several times as long. */
+    private static final double NEAR = 10;
+
     private final WorkerHealth<JobId> health;
     private final Disturbance disturbance;
     private final long now;
     private final Map<ServiceName, List<WorkerRoom>> rooms = new HashMap<>();
-    private final Map<WorkerLife, WorkerRoom> byLife = new HashMap<>();
 
     TaskPlacer(WorkerHealth<JobId> health, Disturbance disturbance, long now) {
         this.health = health;
@@ -29,15 +40,10 @@
     }
 
     void add(WorkerRoom room) {
-        byLife.put(room.entry().life(), room);
         rooms.computeIfAbsent(room.entry().report().service(), service -> new ArrayList<>())
                 .add(room);
     }
 
-    Optional<WorkerRoom> room(WorkerLife life) {
-        return Optional.ofNullable(byLife.get(life));
-    }
-
     /**
      * Chooses the worker for one more task of a step, and counts the task there.
      *
@@ -69,9 +75,6 @@
         return Optional.of(best.entry());
     }
 
-    /** Stands below any score that free room can give, so that an avoided worker is chosen last. */
-    private static final double AVOIDED = 1e6;
-
     private boolean allowed(WorkerRoom room, JobId job, JobStep step, Map<WorkerId, Integer> perWorker) {
         WorkerId worker = room.entry().id();
         boolean label =
@@ -102,13 +105,4 @@
         }
         return near + room.freeMillicores() / capacity;
     }
-
-    /**
-     * Weighs serving tasks of the same image on a worker against little free room: each image bears other best-effort
-     * tasks, so workers with few images bear more, and those without serving tasks bear all.
-     */
-    private static final double ALIKE = 2;
-
-    /** Outweighs any free room: work away from its data takes several times as long. */
-    private static final double NEAR = 10;
 }
