--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/JobSchedule.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/JobSchedule.java
@@ -15,19 +15,27 @@
     /** How often a job may run. */
     public static final int MAX_OCCURRENCES = 10_000;
 
+    /** The latest start and the longest interval, in milliseconds: 30,000 years, so that no due time overflows. */
+    private static final long MAX_MILLIS = 1_000_000_000_000_000L;
+
     /** Runs once, at once. */
     public static final JobSchedule ONCE = new JobSchedule(1, 0, 0);
 
     /** Checks the bounds. */
     public JobSchedule {
-        if (occurrences < 1 || occurrences > MAX_OCCURRENCES || startEpochMillis < 0 || intervalMillis < 0) {
+        boolean bounded = occurrences >= 1 && occurrences <= MAX_OCCURRENCES;
+        if (!bounded || outOfBounds(startEpochMillis) || outOfBounds(intervalMillis)) {
             throw WaxwingheadException.of(
                     ErrorKind.INVALID_INPUT,
                     "the schedule of " + occurrences + " occurrences is out of bounds",
-                    "give 1 to " + MAX_OCCURRENCES + " occurrences and times of 0 or more");
+                    "give 1 to " + MAX_OCCURRENCES + " occurrences and times of 0 to " + MAX_MILLIS + " ms");
         }
     }
 
+    private static boolean outOfBounds(long millis) {
+        return millis < 0 || millis > MAX_MILLIS;
+    }
+
     /**
      * Returns when an occurrence is due.
      *
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/JobStep.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/JobStep.java
@@ -46,12 +46,18 @@
     /** How many tasks a step may have. */
     public static final int MAX_TASKS = 10_000;
 
+    /** The longest duration that a step may name, in milliseconds: some thirty years. */
+    public static final long MAX_MILLIS = 1_000_000_000_000L;
+
     /** Copies the list and checks the bounds. */
     public JobStep {
         after = List.copyOf(after);
         if (count < 1 || count > MAX_TASKS) {
             throw invalid("a step has " + count + " tasks", "give it 1 to " + MAX_TASKS);
         }
+        if (estimateMillis > MAX_MILLIS || targetMillis > MAX_MILLIS) {
+            throw invalid("a duration of a step is out of bounds", "give at most " + MAX_MILLIS + " ms");
+        }
         if (estimateMillis < 0 || targetMillis < 0 || maxPerWorker < 0 || maxUnavailable < 0) {
             throw invalid("a figure of a step is negative", "give figures of 0 or more");
         }
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/JobSubmission.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/JobSubmission.java
@@ -18,7 +18,10 @@
     /** How many steps a job may have. */
     public static final int MAX_STEPS = 100;
 
-    /** Copies the list and checks that steps wait for earlier ones only. */
+    /** How many tasks a job may have over all its occurrences: each takes some 100 bytes on every core host. */
+    public static final int MAX_TASKS = 100_000;
+
+    /** Copies the list and checks the bounds, and that steps wait for earlier ones only. */
     public JobSubmission {
         steps = List.copyOf(steps);
         if (steps.isEmpty() || steps.size() > MAX_STEPS) {
@@ -27,6 +30,13 @@
                     "job " + id + " has " + steps.size() + " steps",
                     "give it 1 to " + MAX_STEPS);
         }
+        long tasks = steps.stream().mapToLong(JobStep::count).sum() * schedule.occurrences();
+        if (tasks > MAX_TASKS) {
+            throw WaxwingheadException.of(
+                    ErrorKind.INVALID_INPUT,
+                    "job " + id + " has " + tasks + " tasks over all its occurrences",
+                    "give it at most " + MAX_TASKS);
+        }
         for (int position = 0; position < steps.size(); position++) {
             checkOrder(id, position, steps.get(position));
         }
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/JobTerms.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/JobTerms.java
@@ -19,6 +19,9 @@
     /** After how many times its objective a late job is worth nothing. */
     private static final int WORTHLESS_AFTER_OBJECTIVES = 3;
 
+    /** The longest objective, in milliseconds: 30,000 years, so that no due time overflows. */
+    private static final double MAX_MILLIS = 1e15;
+
     /**
      * Returns how long a job may take to meet its objective.
      *
@@ -26,7 +29,8 @@
      * @return the time in milliseconds
      */
     public long objectiveMillis(JobSubmission submission) {
-        return Math.round(stretch * submission.chainMillis()) + objectiveMillis;
+        double millis = stretch * submission.chainMillis() + objectiveMillis;
+        return Math.round(Math.max(0, Math.min(MAX_MILLIS, millis)));
     }
 
     /**
