Give workers their full share again after a take-over and after a lost lease

Cause: WorkerHealth counts the tasks with a worker that has not proved itself, five at most. A host that led, stopped leading and leads again still counted the tasks of its earlier turn, whose ends another scheduler took; and a run given up with its worker's lease was never counted off. From five on the worker was given nothing for good.

Before: JobSchedulerTests TakingOverAgain and LostWorkers fail, 1 run in place of 4. After: none fails.

--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/health/WorkerHealth.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/health/WorkerHealth.java
@@ -82,6 +82,14 @@
         standing.unproved = Math.max(0, standing.unproved - 1);
     }
 
+    /**
+     * Takes note that other schedulers may have acted meanwhile, so that it is not known which tasks are still with
+     * which worker. What speaks for and against workers holds.
+     */
+    public void forgetStarted() {
+        workers.values().forEach(standing -> standing.unproved = 0);
+    }
+
     /**
      * Takes note that a task ran well on a worker.
      *
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/SchedulerState.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/SchedulerState.java
@@ -55,8 +55,9 @@
         return book;
     }
 
-    /** Drops all that was known of workers. What was learned of images and of failing workers holds. */
+    /** Drops what was known of workers' runs. What was learned of images and of failing workers holds. */
     void forgetWorkers() {
+        health.forgetStarted();
         book = new WorkerBook();
     }
 
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TransitionPlanner.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TransitionPlanner.java
@@ -100,6 +100,7 @@
             boolean ending = entry.isPresent() && entry.get().ends().containsKey(run);
             if (!ending && plan.size() < MAX_TRANSITIONS) {
                 plan.add(new JobTransition.Ended(run, RunEnd.INTERRUPTED, lastCheckpoint(entry, run)));
+                state.health().withdrawn(life.worker());
             }
         }
     }
--- a/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobSchedulerTests.java
+++ b/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobSchedulerTests.java
@@ -186,6 +186,45 @@
         }
     }
 
+    @Nested
+    class TakingOverAgain {
+        @Test
+        void givesWorkersAsMuchAsAtFirst() {
+            for (String job : List.of("j1", "j2", "j3")) {
+                accept(job, Jobs.step(4, List.of()));
+                startAll(W1);
+                assertThat(table.runsOn(W1)).hasSize(4);
+                endAllByAnotherScheduler(job);
+                table.apply(++index, new JobCommand.Acquire(HostId.of("h1")));
+                scheduler.begin(now);
+            }
+        }
+
+        private void endAllByAnotherScheduler(String job) {
+            table.apply(++index, new JobCommand.Acquire(HostId.of("h2")));
+            List<JobTransition> ends = new ArrayList<>();
+            for (int task = 0; task < 4; task++) {
+                ends.add(new JobTransition.Ended(Jobs.run(job, 0, task, 1), RunEnd.COMPLETED, ""));
+            }
+            commit(ends);
+        }
+    }
+
+    @Nested
+    class LostWorkers {
+        @Test
+        void takeAsMuchAsAtFirstOnceTheyAreBack() {
+            for (String job : List.of("j1", "j2", "j3")) {
+                accept(job, Jobs.step(4, List.of()));
+                startAll(W1);
+                assertThat(table.runsOn(W1)).hasSize(4);
+                table.apply(++index, new JobCommand.Cancel(JobId.of(job)));
+                now += TimeUnit.SECONDS.toNanos(20);
+                commit(plan());
+            }
+        }
+    }
+
     @Nested
     class Serving {
         @Test
