Give tasks that last room before all jobs that end, and keep it for them

A serving task failed at 6.9 s and was not started again for 44 s. The order of jobs took a serving job for late three seconds after it was accepted, since its objective was worked out like that of a job that ends, so its tasks stood behind all others of their priority; and each piece of room that came free on a worker went to a smaller task.

Before: 3 cases of JobSchedulerTests.LastingTasks fail.

--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/StartPlan.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/StartPlan.java
@@ -51,13 +51,20 @@
             TaskKey key = new TaskKey(job.id(), occurrence, position, index);
             RunKey run = new RunKey(key, task.attempts() + 1);
             Optional<WorkerEntry> worker = place(job, step, key, perWorker);
-            if (worker.isEmpty()) {
+            if (worker.isEmpty() && !keepsRoom(job, step, perWorker)) {
                 return;
             }
-            start(run, worker.get());
+            worker.ifPresent(entry -> start(run, entry));
         }
     }
 
+    private boolean keepsRoom(JobRecord job, StepRecord step, Map<WorkerId, Integer> perWorker) {
+        return step.step().lasting()
+                && !step.step().bestEffort()
+                && placer.reserve(job.terms().service(), job.id(), step.step(), perWorker)
+                        .isPresent();
+    }
+
     /** Starts all members or none: a worker holds a member's room while it waits for the others. */
     private void addGang(
             JobRecord job, int occurrence, int position, StepRecord step, Map<WorkerId, Integer> perWorker) {
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TaskPlacer.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TaskPlacer.java
@@ -5,6 +5,7 @@
 import dev.waxwinghead.model.id.WorkerId;
 import dev.waxwinghead.scheduling.health.WorkerHealth;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -75,12 +76,36 @@
         return Optional.of(best.entry());
     }
 
+    /**
+     * Keeps room for a task that lasts and fits nowhere yet, on the worker that has most of it.
+     *
+     * @param service the service that runs it
+     * @param job the job
+     * @param step the step
+     * @param perWorker how many tasks of the step run on each worker
+     * @return the worker, which takes no more tasks in this round than fit beside it; empty if it would fit on none
+     */
+    Optional<WorkerRoom> reserve(ServiceName service, JobId job, JobStep step, Map<WorkerId, Integer> perWorker) {
+        Optional<WorkerRoom> most = rooms.getOrDefault(service, List.of()).stream()
+                .filter(room -> room.willFit(step) && suits(room, job, step, perWorker))
+                .max(Comparator.comparingLong(WorkerRoom::freeMillicores));
+        most.ifPresent(room -> {
+            room.take(step);
+            perWorker.merge(room.entry().id(), 1, Integer::sum);
+        });
+        return most;
+    }
+
     private boolean allowed(WorkerRoom room, JobId job, JobStep step, Map<WorkerId, Integer> perWorker) {
+        return room.fits(step) && calm(room, step) && suits(room, job, step, perWorker);
+    }
+
+    private boolean suits(WorkerRoom room, JobId job, JobStep step, Map<WorkerId, Integer> perWorker) {
         WorkerId worker = room.entry().id();
         boolean label =
                 step.requiredLabel().isEmpty() || room.entry().report().labels().contains(step.requiredLabel());
         boolean spread = step.maxPerWorker() == 0 || perWorker.getOrDefault(worker, 0) < step.maxPerWorker();
-        return label && spread && room.fits(step) && calm(room, step) && health.accepts(worker, job, now);
+        return label && spread && health.accepts(worker, job, now);
     }
 
     private boolean calm(WorkerRoom room, JobStep step) {
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/WorkerRoom.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/WorkerRoom.java
@@ -17,6 +17,7 @@
     private long freeMemoryBytes;
     private long freeAccelerators;
     private double leftoverMillicores;
+    private long endingMillicores;
     private int serving;
 
     WorkerRoom(WorkerEntry entry, List<Disturbance.Resident> residents) {
@@ -63,6 +64,7 @@
             return;
         }
         freeMillicores -= need.millicores();
+        endingMillicores += step.lasting() ? 0 : need.millicores();
         leftoverMillicores -= step.serves() ? SERVING_USE * need.millicores() : need.millicores();
         if (step.serves()) {
             serving++;
@@ -70,6 +72,11 @@
         }
     }
 
+    /** Tells whether a step would fit once all tasks that end have ended. */
+    boolean willFit(JobStep step) {
+        return step.need().millicores() <= freeMillicores + endingMillicores;
+    }
+
     boolean fits(JobStep step) {
         Resources need = step.need();
         boolean memory = need.memoryBytes() <= freeMemoryBytes && need.accelerators() <= freeAccelerators;
--- a/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobSchedulerTests.java
+++ b/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobSchedulerTests.java
@@ -186,6 +186,40 @@
         }
     }
 
+    @Nested
+    class LastingTasks {
+        @Test
+        void goBeforeOlderJobsThatEnd() {
+            accept("j1", Jobs.step(4, List.of()));
+            accept("s1", Jobs.step(1, List.of(), true, false, 100));
+            startAll(W1);
+            assertThat(table.runsOn(W1)).contains(Jobs.run("s1", 0, 0, 1));
+        }
+
+        @Test
+        void goBeforeJobsThatEndAlsoLongAfterTheirAcceptance() {
+            accept("s1", Jobs.step(1, List.of(), true, false, 100));
+            table.apply(++index, Jobs.acceptAt("j1", 3_600_000, Jobs.step(4, List.of())));
+            report(W1);
+            commit(scheduler.plan(now, 3_600_000));
+            assertThat(table.runsOn(W1)).contains(Jobs.run("s1", 0, 0, 1));
+        }
+
+        @Test
+        void haveTheirRoomKeptWhileTasksThatEndRun() {
+            accept("j1", Jobs.step(4, List.of()));
+            startAll(W1);
+            accept("s1", Jobs.step(1, List.of(), true, false, 100, 2000));
+            accept("j2", Jobs.step(4, List.of()));
+            report(W1, ended(1, "j1", 0, 1, ReportedEnd.COMPLETED));
+            commit(plan());
+            report(W1, ended(2, "j1", 1, 1, ReportedEnd.COMPLETED));
+            commit(plan());
+            commit(plan());
+            assertThat(table.runsOn(W1)).contains(Jobs.run("s1", 0, 0, 1));
+        }
+    }
+
     @Nested
     class TakingOverAgain {
         @Test
--- a/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/Jobs.java
+++ b/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/Jobs.java
@@ -19,9 +19,14 @@
     }
 
     static JobStep step(int count, List<Integer> after, boolean lasting, boolean bestEffort, long targetMillis) {
+        return step(count, after, lasting, bestEffort, targetMillis, 1000);
+    }
+
+    static JobStep step(
+            int count, List<Integer> after, boolean lasting, boolean bestEffort, long targetMillis, long millicores) {
         return new JobStep(
                 count,
-                Resources.of(1000, 1000, 0),
+                Resources.of(millicores, 1000, 0),
                 1000,
                 after,
                 true,
@@ -39,8 +44,12 @@
     }
 
     static JobCommand.Accept accept(String id, JobStep... steps) {
+        return acceptAt(id, 0, steps);
+    }
+
+    static JobCommand.Accept acceptAt(String id, long epochMillis, JobStep... steps) {
         return new JobCommand.Accept(
-                new JobSubmission(JobId.of(id), "payload-" + id, List.of(steps), JobSchedule.ONCE), TERMS, 0);
+                new JobSubmission(JobId.of(id), "payload-" + id, List.of(steps), JobSchedule.ONCE), TERMS, epochMillis);
     }
 
     static RunKey run(String job, int step, int index, int attempt) {
