Start one task of each best-effort job that has none running while much room is free

Change: where 45 % of a service's room is free, a job of which nothing runs gets one task on the worker whose serving tasks have most room, none of them over 85 % of its target now. The rule allows no job to stand still below half the capacity in use; with less room free nothing changes.

Before: JobSchedulerTests.BestEffortTasks, first case, fails. After: none of three.

--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/Disturbance.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/Disturbance.java
@@ -126,6 +126,31 @@
         return true;
     }
 
+    /**
+     * Returns how much room a worker's serving tasks would be left with beside another best-effort task.
+     *
+     * @return the logarithm by which the nearest one stays below its bound at the next peak of its load; negative
+     *     infinity if one is past it already
+     */
+    double roomLeft(List<Resident> residents, JobStep step, long now) {
+        double units = step.need().millicores() / UNIT_MILLICORES;
+        double least = -LOG_ROOM_UP_TO;
+        for (Resident serving : residents) {
+            if (serving.step().serves()) {
+                least = Math.min(least, roomLeft(serving, step, units, now));
+            }
+        }
+        return least;
+    }
+
+    private double roomLeft(Resident serving, JobStep step, double units, long now) {
+        if (serving.atWork() && serving.logRatio() > LOG_ROOM_UP_TO) {
+            return Double.NEGATIVE_INFINITY;
+        }
+        double rise = units * model.rise(serving.step().image(), step.image(), now);
+        return LOG_ROOM_UP_TO - model.peak(serving.job(), now) - rise;
+    }
+
     private boolean bears(Resident serving, JobStep step, double units, long now) {
         String image = serving.step().image();
         double rise = units * model.rise(image, step.image(), now);
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/JobRecord.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/JobRecord.java
@@ -116,6 +116,21 @@
         return true;
     }
 
+    /**
+     * Returns how many runs of its tasks are live.
+     *
+     * @return the number, from 0
+     */
+    public int live() {
+        int live = 0;
+        for (List<StepRecord> steps : occurrences) {
+            for (StepRecord step : steps) {
+                live += step.live();
+            }
+        }
+        return live;
+    }
+
     /**
      * Returns the longest chain of estimated work over the steps that have not completed.
      *
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/StartPlan.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/StartPlan.java
@@ -1,5 +1,6 @@
 package dev.waxwinghead.scheduling.job;
 
+import dev.waxwinghead.model.id.JobId;
 import dev.waxwinghead.model.id.WorkerId;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -12,6 +13,7 @@
     private final SchedulerState state;
     private final TaskPlacer placer;
     private final List<JobTransition> transitions = new ArrayList<>();
+    private Optional<JobId> lastStarted = Optional.empty();
 
     StartPlan(SchedulerState state, TaskPlacer placer) {
         this.state = state;
@@ -52,12 +54,25 @@
             RunKey run = new RunKey(key, task.attempts() + 1);
             Optional<WorkerEntry> worker = place(job, step, key, perWorker);
             if (worker.isEmpty() && !keepsRoom(job, step, perWorker)) {
+                startStarved(job, step, run, perWorker);
                 return;
             }
             worker.ifPresent(entry -> start(run, entry));
         }
     }
 
+    /** Starts one task of a job of which nothing runs, where the serving tasks beside it leave no room for more. */
+    private void startStarved(JobRecord job, StepRecord step, RunKey run, Map<WorkerId, Integer> perWorker) {
+        if (step.step().bestEffort() && job.live() == 0 && !started(job)) {
+            placer.placeStarved(job.terms().service(), job.id(), step.step(), perWorker)
+                    .ifPresent(entry -> start(run, entry));
+        }
+    }
+
+    private boolean started(JobRecord job) {
+        return lastStarted.isPresent() && lastStarted.get().equals(job.id());
+    }
+
     private boolean keepsRoom(JobRecord job, StepRecord step, Map<WorkerId, Integer> perWorker) {
         return step.step().lasting()
                 && !step.step().bestEffort()
@@ -94,6 +109,7 @@
 
     private void start(RunKey run, WorkerEntry worker) {
         transitions.add(new JobTransition.Started(run, worker.life()));
+        lastStarted = Optional.of(run.task().job());
         state.health().started(worker.id());
         state.events().starting(run, worker.life(), state.table().epoch());
     }
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TaskPlacer.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TaskPlacer.java
@@ -29,6 +29,9 @@
     /** Outweighs any free room: work away from its data takes several times as long. */
     private static final double NEAR = 10;
 
+    /** From this share of free room on, a job may not be left without any running task: a margin below a half. */
+    private static final double IDLE_SHARE = 0.45;
+
     private final WorkerHealth<JobId> health;
     private final Disturbance disturbance;
     private final long now;
@@ -76,6 +79,47 @@
         return Optional.of(best.entry());
     }
 
+    /**
+     * Chooses the worker for a best-effort task of a job of which nothing runs though much of the service's room is
+     * free: the one whose serving tasks are disturbed least, though more than other best-effort tasks may disturb them.
+     *
+     * @param service the service that runs it
+     * @param job the job
+     * @param step the step
+     * @param perWorker how many tasks of the step run on each worker
+     * @return the worker; empty if the service has little free room, or none whose serving tasks are below their
+     *     targets
+     */
+    Optional<WorkerEntry> placeStarved(ServiceName service, JobId job, JobStep step, Map<WorkerId, Integer> perWorker) {
+        if (!mostlyFree(service)) {
+            return Optional.empty();
+        }
+        WorkerRoom best = null;
+        double bestRoom = Double.NEGATIVE_INFINITY;
+        for (WorkerRoom room : rooms.getOrDefault(service, List.of())) {
+            double left = disturbance.roomLeft(room.residents(), step, now);
+            if (left > bestRoom && room.fits(step) && leavesEnough(room, step) && suits(room, job, step, perWorker)) {
+                best = room;
+                bestRoom = left;
+            }
+        }
+        if (best == null) {
+            return Optional.empty();
+        }
+        best.take(step);
+        return Optional.of(best.entry());
+    }
+
+    private boolean mostlyFree(ServiceName service) {
+        long free = 0;
+        long capacity = 0;
+        for (WorkerRoom room : rooms.getOrDefault(service, List.of())) {
+            free += Math.max(0, room.freeMillicores());
+            capacity += room.entry().report().capacity().millicores();
+        }
+        return free >= IDLE_SHARE * capacity;
+    }
+
     /**
      * Keeps room for a task that lasts and fits nowhere yet, on the worker that has most of it.
      *
@@ -112,8 +156,11 @@
         if (!step.bestEffort()) {
             return true;
         }
-        return room.leftoverMillicores() >= BEST_EFFORT_SHARE * step.need().millicores()
-                && disturbance.bears(room.residents(), step, now);
+        return leavesEnough(room, step) && disturbance.bears(room.residents(), step, now);
+    }
+
+    private static boolean leavesEnough(WorkerRoom room, JobStep step) {
+        return room.leftoverMillicores() >= BEST_EFFORT_SHARE * step.need().millicores();
     }
 
     private static double score(WorkerRoom room, JobStep step) {
--- a/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobSchedulerTests.java
+++ b/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobSchedulerTests.java
@@ -220,6 +220,44 @@
         }
     }
 
+    @Nested
+    class BestEffortTasks {
+        @Test
+        void getOneRunAJobBesideStrainedServingTasksWhileMostRoomIsFree() {
+            serveAt(84);
+            accept("b1", Jobs.step(3, List.of(), false, true, 0));
+            commit(plan());
+            assertThat(table.runsOn(W1)).containsExactly(Jobs.run("s1", 0, 0, 1), Jobs.run("b1", 0, 0, 1));
+        }
+
+        @Test
+        void getNoneBesideServingTasksThatAreOverTheirTarget() {
+            serveAt(110);
+            accept("b1", Jobs.step(3, List.of(), false, true, 0));
+            commit(plan());
+            assertThat(table.runsOn(W1)).containsExactly(Jobs.run("s1", 0, 0, 1));
+        }
+
+        @Test
+        void getNoneBesideStrainedServingTasksWhileLittleRoomIsFree() {
+            accept("j1", Jobs.step(2, List.of()));
+            serveAt(84);
+            accept("b1", Jobs.step(3, List.of(), false, true, 0));
+            commit(plan());
+            assertThat(table.runsOn(W1)).doesNotContain(Jobs.run("b1", 0, 0, 1));
+        }
+
+        /** Lets a worker's serving task, of target 100 ms, answer with a tail of so many milliseconds for a while. */
+        private void serveAt(long tailMillis) {
+            accept("s1", Jobs.step(1, List.of(), true, false, 100));
+            startAll(W1);
+            for (int i = 0; i < 10; i++) {
+                now += TimeUnit.MILLISECONDS.toNanos(300);
+                report(W1, new RunningTask(Jobs.run("s1", 0, 0, 1), "", 100, tailMillis));
+            }
+        }
+    }
+
     @Nested
     class TakingOverAgain {
         @Test
