Let only tasks that ran before go ahead of other jobs

A trial that printed each worker's room (scratch copy) showed serving tasks over the whole pool, with pieces of 0 to 2.1 cores left, none large enough.

Change: the first pass of a plan starts tasks that last and ran before, and keeps room for them; all others keep the earlier order.

--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/JobQueue.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/JobQueue.java
@@ -7,8 +7,7 @@
 
 /** Puts the jobs that have not ended in the order in which they get room. */
 final class JobQueue {
-    private static final Comparator<Waiting> ORDER = Comparator.comparing(Waiting::lasting, Comparator.reverseOrder())
-            .thenComparingInt(Waiting::priority)
+    private static final Comparator<Waiting> ORDER = Comparator.comparingInt(Waiting::priority)
             .thenComparing(Waiting::hope)
             .thenComparingLong(Waiting::dueEpochMillis);
 
@@ -33,23 +32,12 @@
         NONE
     }
 
-    /**
-     * Holds a job with what decides about its place.
-     *
-     * @param job the job
-     * @param lasting whether it has tasks that serve users until it is canceled: they are never late, and each moment
-     *     without one of them is lost, so they go before all jobs that end
-     * @param priority 0 goes first
-     * @param hope what it can still be worth
-     * @param dueEpochMillis when its objective ends
-     */
-    private record Waiting(JobRecord job, boolean lasting, int priority, Hope hope, long dueEpochMillis) {
+    private record Waiting(JobRecord job, int priority, Hope hope, long dueEpochMillis) {
         static Waiting of(JobRecord job, long epochMillis) {
             JobTerms terms = job.terms();
             long accepted = job.acceptedEpochMillis();
             long due = accepted + terms.objectiveMillis(job.submission());
-            boolean lasting = job.submission().steps().stream().anyMatch(step -> step.lasting() && !step.bestEffort());
-            return new Waiting(job, lasting, terms.priority(), hope(job, due, epochMillis), due);
+            return new Waiting(job, terms.priority(), hope(job, due, epochMillis), due);
         }
 
         private static Hope hope(JobRecord job, long due, long epochMillis) {
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/StartPlan.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/StartPlan.java
@@ -13,6 +13,7 @@
     private final SchedulerState state;
     private final TaskPlacer placer;
     private final List<JobTransition> transitions = new ArrayList<>();
+    private final Map<StepRecord, Map<WorkerId, Integer>> placed = new HashMap<>();
     private Optional<JobId> lastStarted = Optional.empty();
 
     StartPlan(SchedulerState state, TaskPlacer placer) {
@@ -24,7 +25,17 @@
         return transitions;
     }
 
+    /** Starts tasks that last and have run before: their users miss them, and they go before all other tasks. */
+    void addReplacements(JobRecord job, long epochMillis) {
+        addTasks(job, epochMillis, true);
+    }
+
+    /** Starts all other tasks of a job. */
     void add(JobRecord job, long epochMillis) {
+        addTasks(job, epochMillis, false);
+    }
+
+    private void addTasks(JobRecord job, long epochMillis, boolean replacements) {
         for (int occurrence = 0; occurrence < job.occurrences().size(); occurrence++) {
             long due = job.submission().schedule().dueEpochMillis(occurrence);
             if (due > 0 && epochMillis < due + state.times().dueSlack().toMillis()) {
@@ -32,35 +43,49 @@
             }
             for (int position = 0; position < job.submission().steps().size(); position++) {
                 StepRecord step = job.occurrences().get(occurrence).get(position);
-                if (step.mayHaveWaiting() && job.ready(occurrence, position)) {
-                    addStep(job, occurrence, position, step);
+                boolean wanted = !replacements || serves(step.step());
+                if (wanted && step.mayHaveWaiting() && job.ready(occurrence, position)) {
+                    addStep(job, occurrence, position, step, replacements);
                 }
             }
         }
     }
 
-    private void addStep(JobRecord job, int occurrence, int position, StepRecord step) {
-        Map<WorkerId, Integer> perWorker = perWorker(step);
+    private static boolean serves(JobStep step) {
+        return step.lasting() && !step.bestEffort() && !step.gang();
+    }
+
+    private void addStep(JobRecord job, int occurrence, int position, StepRecord step, boolean replacements) {
+        Map<WorkerId, Integer> perWorker = placed.computeIfAbsent(step, StartPlan::perWorker);
         if (step.step().gang()) {
             addGang(job, occurrence, position, step, perWorker);
             return;
         }
         for (int index = 0; index < step.tasks().size(); index++) {
             TaskRecord task = step.tasks().get(index);
-            if (task.completed() || !task.live().isEmpty()) {
+            boolean replaced = serves(step.step()) && task.attempts() > 0;
+            if (task.completed() || !task.live().isEmpty() || replaced != replacements) {
                 continue;
             }
             TaskKey key = new TaskKey(job.id(), occurrence, position, index);
             RunKey run = new RunKey(key, task.attempts() + 1);
             Optional<WorkerEntry> worker = place(job, step, key, perWorker);
-            if (worker.isEmpty() && !keepsRoom(job, step, perWorker)) {
+            if (worker.isPresent()) {
+                start(run, worker.get());
+            } else if (!replacements) {
                 startStarved(job, step, run, perWorker);
                 return;
+            } else if (!keepsRoom(job, step, perWorker)) {
+                return;
             }
-            worker.ifPresent(entry -> start(run, entry));
         }
     }
 
+    private boolean keepsRoom(JobRecord job, StepRecord step, Map<WorkerId, Integer> perWorker) {
+        return placer.reserve(job.terms().service(), job.id(), step.step(), perWorker)
+                .isPresent();
+    }
+
     /** Starts one task of a job of which nothing runs, where the serving tasks beside it leave no room for more. */
     private void startStarved(JobRecord job, StepRecord step, RunKey run, Map<WorkerId, Integer> perWorker) {
         if (step.step().bestEffort() && job.live() == 0 && !started(job)) {
@@ -73,13 +98,6 @@
         return lastStarted.isPresent() && lastStarted.get().equals(job.id());
     }
 
-    private boolean keepsRoom(JobRecord job, StepRecord step, Map<WorkerId, Integer> perWorker) {
-        return step.step().lasting()
-                && !step.step().bestEffort()
-                && placer.reserve(job.terms().service(), job.id(), step.step(), perWorker)
-                        .isPresent();
-    }
-
     /** Starts all members or none: a worker holds a member's room while it waits for the others. */
     private void addGang(
             JobRecord job, int occurrence, int position, StepRecord step, Map<WorkerId, Integer> perWorker) {
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TaskPlacer.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TaskPlacer.java
@@ -121,7 +121,7 @@
     }
 
     /**
-     * Keeps room for a task that lasts and fits nowhere yet, on the worker that has most of it.
+     * Keeps room for a task that has to run again and fits nowhere yet, on the worker that has most of it.
      *
      * @param service the service that runs it
      * @param job the job
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TransitionPlanner.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TransitionPlanner.java
@@ -129,7 +129,9 @@
             return;
         }
         StartPlan starts = new StartPlan(state, placer(now));
-        for (JobRecord job : JobQueue.ordered(state.table(), epochMillis)) {
+        List<JobRecord> jobs = JobQueue.ordered(state.table(), epochMillis);
+        jobs.forEach(job -> starts.addReplacements(job, epochMillis));
+        for (JobRecord job : jobs) {
             starts.add(job, epochMillis);
             if (plan.size() + starts.transitions().size() >= MAX_TRANSITIONS) {
                 break;
