Explain a job from collected logs

waxwinghead explain job ID FILE... puts the lines on a job in order, with the schedulers that changed and the workers that were lost meanwhile, and says what they come to.

--- a/waxwinghead-cli/src/main/java/dev/waxwinghead/cli/CommandLine.java
+++ b/waxwinghead-cli/src/main/java/dev/waxwinghead/cli/CommandLine.java
@@ -14,6 +14,7 @@
 import dev.waxwinghead.cli.command.DeleteCommand;
 import dev.waxwinghead.cli.command.DescribeCommand;
 import dev.waxwinghead.cli.command.DrainCommand;
+import dev.waxwinghead.cli.command.ExplainJobCommand;
 import dev.waxwinghead.cli.command.GetCommand;
 import dev.waxwinghead.cli.command.RemoveMemberCommand;
 import dev.waxwinghead.cli.command.StatusCommand;
@@ -122,6 +123,9 @@
         builder.withGroup("members")
                 .withDescription("Changes the group of entry hosts that vote")
                 .withCommand(RemoveMemberCommand.class);
+        builder.withGroup("explain")
+                .withDescription("Explains what happened from collected logs")
+                .withCommand(ExplainJobCommand.class);
         builder.withParser().withErrorHandler(new CollectAll());
         return builder.build();
     }
