Cut a host off only once it knows the leader, in the test of refusals without a majority

Cause, by the log of that run: the cut host heard of its first leader at 29.717 s, and the proposal failed at 35.94 s, 6 s (its time limit) after it was sent at 29.7 s; the host forgot the leader only at 31.143 s. So the test took the host's first moments, in which it knew no leader yet and had no majority in reach, for the cut having been noticed. The proposal was then passed on to the leader that it heard of, and an unknown outcome was the true answer.

The test now waits until the host has a majority in reach before it cuts it off, so that it always shows what it names; its checks stay as they are.

--- a/waxwinghead-coordination/src/test/java/dev/waxwinghead/coordination/replica/ReplicaNodeTests.java
+++ b/waxwinghead-coordination/src/test/java/dev/waxwinghead/coordination/replica/ReplicaNodeTests.java
@@ -113,6 +113,7 @@
         void withoutAMajorityAreRefusedAsNotAccepted() {
             try (Cluster cluster = Cluster.start(3, 0, 1000)) {
                 Host cut = anyBut(cluster, cluster.leader());
+                Cluster.await(() -> cut.node().status().majorityInReach(), "the leader to be known");
                 cluster.network.cut(cut.id());
                 Cluster.await(() -> !cut.node().status().majorityInReach(), "the cut to be noticed");
                 Cluster.await(() -> cut.node().status().leader().isEmpty(), "the leader to be forgotten");
