--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/EngineEvents.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/EngineEvents.java
@@ -102,7 +102,7 @@
 
     @Override
     public void learned(String pairs) {
-        Event.of("disturbance-learned").with("pairs", pairs).write();
+        Event.of("interference-learned").with("pairs", pairs).write();
     }
 
     @Override
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/interference/PairwiseDisturbance.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/interference/PairwiseInterference.java
@@ -12,7 +12,7 @@
  *
  * @since 0.2
  */
-public final class PairwiseDisturbance {
+public final class PairwiseInterference {
     private static final double PRIOR_LEVEL = -0.8;
     private static final double PRIOR_LEVEL_VARIANCE = 0.3;
 
@@ -43,15 +43,15 @@
     private final Map<String, Estimate> levels = new HashMap<>();
     private final Map<String, Map<String, Estimate>> rises = new HashMap<>();
 
-    private PairwiseDisturbance() {}
+    private PairwiseInterference() {}
 
     /**
      * Returns a model that has learned nothing.
      *
      * @return the model, never null
      */
-    public static PairwiseDisturbance create() {
-        return new PairwiseDisturbance();
+    public static PairwiseInterference create() {
+        return new PairwiseInterference();
     }
 
     /**
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/Disturbance.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/Interference.java
@@ -1,7 +1,7 @@
 package dev.waxwinghead.scheduling.job;
 
 import dev.waxwinghead.model.id.JobId;
-import dev.waxwinghead.scheduling.interference.PairwiseDisturbance;
+import dev.waxwinghead.scheduling.interference.PairwiseInterference;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -14,7 +14,7 @@
  *
  * <p>Tasks of one image behave alike, so what is learned on one worker holds on all.
  */
-final class Disturbance {
+final class Interference {
     /** Above this share of its target a serving task is relieved: the gauge is half a second old and rough. */
     private static final double RELIEF_AT = 0.92;
 
@@ -35,7 +35,7 @@
     /** A task that raises the logarithm of a latency by less is taken as harmless: gauges are not exacter. */
     private static final double HARMLESS = 0.12;
 
-    /** The processor time that counts as one unit of disturbance, in millicores. */
+    /** The processor time that counts as one unit of interference, in millicores. */
     private static final double UNIT_MILLICORES = 500;
 
     /** The gauges cover half a second, so what one relief brought shows only after that. */
@@ -44,7 +44,7 @@
     /** How often one worker's gauges are learned from: they change little in less. */
     private static final long LEARN_NANOS = TimeUnit.MILLISECONDS.toNanos(240);
 
-    private final PairwiseDisturbance model = PairwiseDisturbance.create();
+    private final PairwiseInterference model = PairwiseInterference.create();
 
     /**
      * Takes a worker's newest gauges in.
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/JobScheduler.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/JobScheduler.java
@@ -95,7 +95,7 @@
     public List<JobTransition> plan(long now, long epochMillis) {
         if (now - describedNanos > DESCRIBE_NANOS) {
             describedNanos = now;
-            state.events().learned(state.disturbance().describe(now));
+            state.events().learned(state.interference().describe(now));
         }
         return planner.plan(now, epochMillis);
     }
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/ReportAnswers.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/ReportAnswers.java
@@ -38,8 +38,8 @@
         }
         entry.extendLease(now + state.times().leaseBoundNanos());
         noteProgress(entry);
-        List<Disturbance.Resident> residents = state.residents(entry);
-        state.disturbance().learn(entry, residents, now);
+        List<Interference.Resident> residents = state.residents(entry);
+        state.interference().learn(entry, residents, now);
         markStops(entry, now);
         relieve(entry, residents, now);
         return Optional.of(orders(entry));
@@ -98,18 +98,18 @@
         return step.checkpoints() && left > LEAVING_MARGIN * entry.report().remainingMillis();
     }
 
-    private void relieve(WorkerEntry entry, List<Disturbance.Resident> residents, long now) {
-        for (Disturbance.Resident resident : residents) {
+    private void relieve(WorkerEntry entry, List<Interference.Resident> residents, long now) {
+        for (Interference.Resident resident : residents) {
             if (resident.step().serves()) {
                 resident.observed().noteOverTarget(resident.atWork() && resident.ratio() >= 1, now);
             }
         }
-        if (Disturbance.overdue(residents, now)) {
+        if (Interference.overdue(residents, now)) {
             residents.stream()
                     .filter(resident -> resident.step().bestEffort())
                     .forEach(resident -> state.stop(entry, resident.run(), "beside-overdue-serving-task"));
         }
-        state.disturbance().relief(entry, residents, now).ifPresent(resident -> {
+        state.interference().relief(entry, residents, now).ifPresent(resident -> {
             state.avoid(resident.run().task(), entry.id());
             state.stop(entry, resident.run(), "disturbs-serving-tasks");
         });
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/SchedulerState.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/SchedulerState.java
@@ -21,7 +21,7 @@
     private final SchedulerTimes times;
     private final SchedulerEvents events;
     private final WorkerHealth<JobId> health = WorkerHealth.create(QUARANTINE_NANOS);
-    private final Disturbance disturbance = new Disturbance();
+    private final Interference interference = new Interference();
     private final Map<TaskKey, Set<WorkerId>> failedOn = new HashMap<>();
     private WorkerBook book = new WorkerBook();
 
@@ -47,8 +47,8 @@
         return health;
     }
 
-    Disturbance disturbance() {
-        return disturbance;
+    Interference interference() {
+        return interference;
     }
 
     WorkerBook book() {
@@ -69,12 +69,12 @@
     }
 
     /** Returns the tasks that a worker's newest report lists, but those of jobs that are not known. */
-    List<Disturbance.Resident> residents(WorkerEntry entry) {
-        List<Disturbance.Resident> residents =
+    List<Interference.Resident> residents(WorkerEntry entry) {
+        List<Interference.Resident> residents =
                 new ArrayList<>(entry.observations().size());
         entry.observations()
                 .forEach((run, observed) -> step(run.task())
-                        .ifPresent(step -> residents.add(new Disturbance.Resident(run, step, observed))));
+                        .ifPresent(step -> residents.add(new Interference.Resident(run, step, observed))));
         return residents;
     }
 
@@ -98,7 +98,7 @@
     /** Drops what was learned of a job that has ended. */
     void forget(JobId job) {
         health.forget(job);
-        disturbance.forget(job);
+        interference.forget(job);
         failedOn.keySet().removeIf(task -> task.job().equals(job));
     }
 }
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TaskPlacer.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TaskPlacer.java
@@ -34,13 +34,13 @@
     private static final double IDLE_SHARE = 0.45;
 
     private final WorkerHealth<JobId> health;
-    private final Disturbance disturbance;
+    private final Interference interference;
     private final long now;
     private final Map<ServiceName, List<WorkerRoom>> rooms = new HashMap<>();
 
-    TaskPlacer(WorkerHealth<JobId> health, Disturbance disturbance, long now) {
+    TaskPlacer(WorkerHealth<JobId> health, Interference interference, long now) {
         this.health = health;
-        this.disturbance = disturbance;
+        this.interference = interference;
         this.now = now;
     }
 
@@ -109,7 +109,7 @@
         Optional<WorkerRoom> best = best(
                 service,
                 room -> room.fits(step) && leavesEnough(room, step) && suits(room, job, step, perWorker),
-                room -> disturbance.roomLeft(room.residents(), step, now));
+                room -> interference.roomLeft(room.residents(), step, now));
         best.ifPresent(room -> take(room, step, perWorker));
         return best.map(WorkerRoom::entry);
     }
@@ -157,7 +157,7 @@
         if (!step.bestEffort()) {
             return true;
         }
-        return leavesEnough(room, step) && disturbance.bears(room.residents(), step, now);
+        return leavesEnough(room, step) && interference.bears(room.residents(), step, now);
     }
 
     private static boolean leavesEnough(WorkerRoom room, JobStep step) {
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TransitionPlanner.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TransitionPlanner.java
@@ -141,7 +141,7 @@
     }
 
     private TaskPlacer placer(long now) {
-        TaskPlacer placer = new TaskPlacer(state.health(), state.disturbance(), now);
+        TaskPlacer placer = new TaskPlacer(state.health(), state.interference(), now);
         for (WorkerEntry entry : state.book().entries()) {
             state.health().review(entry.id(), now);
             if (takesWork(entry, now)) {
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/WorkerRoom.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/WorkerRoom.java
@@ -11,7 +11,7 @@
     private static final double SERVING_USE = 0.5;
 
     private final WorkerEntry entry;
-    private final List<Disturbance.Resident> residents;
+    private final List<Interference.Resident> residents;
     private final Map<String, Integer> servingImages = new HashMap<>();
     private long freeMillicores;
     private long freeMemoryBytes;
@@ -20,7 +20,7 @@
     private long endingMillicores;
     private int serving;
 
-    WorkerRoom(WorkerEntry entry, List<Disturbance.Resident> residents) {
+    WorkerRoom(WorkerEntry entry, List<Interference.Resident> residents) {
         this.entry = entry;
         this.residents = residents;
         Resources capacity = entry.report().capacity();
@@ -34,7 +34,7 @@
         return entry;
     }
 
-    List<Disturbance.Resident> residents() {
+    List<Interference.Resident> residents() {
         return residents;
     }
 
--- a/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/interference/PairwiseDisturbanceTests.java
+++ b/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/interference/PairwiseInterferenceTests.java
@@ -6,10 +6,10 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 
-class PairwiseDisturbanceTests {
+class PairwiseInterferenceTests {
     private static final double UNITS = 6;
 
-    private final PairwiseDisturbance model = PairwiseDisturbance.create();
+    private final PairwiseInterference model = PairwiseInterference.create();
     private long now;
 
     @Test
