Make the lost-disk and lease tests independent of the machine's speed

Cause: LostDisks#neverFormASecondGroupOnTheLowestHost stopped two of three hosts before the third had the changes; it waits for the third one now. Leases#stopsTaskWhenLeaseExpires gave a lease of 400 ms on the wall clock: beside load the first answer came after the lease, so the task was never running. Leases and tasks of the simulated worker take the time from a clock that the test moves, and the test checks that the task runs 1 ms before the end of the lease.

Ruled out: a fault of the replica (it commits with two of three) and of the worker (a lease counts from the sending).

--- a/waxwinghead-coordination/src/test/java/dev/waxwinghead/coordination/replica/ReplicaNodeTests.java
+++ b/waxwinghead-coordination/src/test/java/dev/waxwinghead/coordination/replica/ReplicaNodeTests.java
@@ -198,6 +198,7 @@
         void neverFormASecondGroupOnTheLowestHost() {
             try (TestCluster cluster = TestCluster.start(3, 0, 1000)) {
                 List<String> texts = proposeChanges(cluster.leader(), 5);
+                awaitWithin(TestCluster.TIMEOUT, cluster.host(3), texts);
                 cluster.stop(HostId.of("e1"));
                 cluster.stop(HostId.of("e2"));
                 Host wiped = cluster.startEmpty(HostId.of("e1"));
--- a/waxwinghead-testkit/src/main/java/dev/waxwinghead/testkit/worker/WorkerProcess.java
+++ b/waxwinghead-testkit/src/main/java/dev/waxwinghead/testkit/worker/WorkerProcess.java
@@ -22,10 +22,19 @@
     private final Closer closer = Closer.create();
     private final List<SimulatedWorker> workers = new ArrayList<>();
 
-    private WorkerProcess() {}
+    private final Ticker ticker;
+
+    private WorkerProcess(Ticker ticker) {
+        this.ticker = ticker;
+    }
 
     static WorkerProcess start(WorkerOptions options) {
-        WorkerProcess process = new WorkerProcess();
+        return start(options, Ticker.system());
+    }
+
+    /** Starts workers whose leases and tasks take the time from the given clock; polls are still paced in real time. */
+    static WorkerProcess start(WorkerOptions options, Ticker ticker) {
+        WorkerProcess process = new WorkerProcess(ticker);
         ScheduledExecutorService timer = Executors.newScheduledThreadPool(TIMER_THREADS);
         process.closer.register(timer::shutdownNow);
         ExecutorService executor = Executors.newFixedThreadPool(HTTP_THREADS);
@@ -47,9 +56,9 @@
         TaskTable tasks = TaskTable.create();
         TaskContext context = new TaskContext(
                 describe(options, index),
-                TaskLease.create(Ticker.system()),
+                TaskLease.create(ticker),
                 record,
-                Ticker.system(),
+                ticker,
                 timer,
                 EntryHostClient.create(client, options.workerPorts(), index),
                 options.usageLag(),
--- a/waxwinghead-testkit/src/test/java/dev/waxwinghead/testkit/worker/SimulatedWorkerTests.java
+++ b/waxwinghead-testkit/src/test/java/dev/waxwinghead/testkit/worker/SimulatedWorkerTests.java
@@ -12,6 +12,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
@@ -44,7 +45,11 @@
     }
 
     private void startWorker(String... ports) {
-        worker = WorkerProcess.start(new WorkerOptions(
+        worker = WorkerProcess.start(options(ports));
+    }
+
+    private WorkerOptions options(String... ports) {
+        return new WorkerOptions(
                 List.of(ports),
                 "w1",
                 DataCentreId.of("dc1"),
@@ -58,7 +63,7 @@
                 Duration.ofSeconds(5),
                 Duration.ofMillis(20),
                 false,
-                folder.resolve("record")));
+                folder.resolve("record"));
     }
 
     private static String startBatch(int attempt, String settings, String checkpoint) {
@@ -162,11 +167,16 @@
     class Leases {
         @Test
         void stopsTaskWhenLeaseExpires() throws Exception {
+            AtomicLong now = new AtomicLong();
             host.answer(1, 400, startBatch(1, "\"runMillis\": \"3600000\"", "null"));
-            startWorker(host.port());
+            worker = WorkerProcess.start(options(host.port()), now::get);
             host.awaitTask("running");
 
             host.answer(0, 0);
+            now.addAndGet(TimeUnit.MILLISECONDS.toNanos(399));
+            host.awaitPoll(poll -> true);
+            host.awaitTask("running");
+            now.addAndGet(TimeUnit.MILLISECONDS.toNanos(1));
 
             assertThat(host.awaitTask("stopped").at("/exitMessage").asText()).contains("lease");
         }
