Hold the answers to workers with room until a start is committed, and say for what jobs wait

Cause: a start reaches a worker only in the answer to its next report, and reports of all workers together are limited to 300 a second, so with 245 workers a start waited 0.4 s on the mean and 0.8 s at most, longer than half of the tasks of 640 ms run. The answer is now held back for up to 500 ms (150 ms beside finite tasks) and given as soon as a start is committed; tasks go preferably to workers that await an answer; runs that end with a plan free their capacity for the starts of the same plan. A later report of a worker ends the wait of the earlier one; a host that no longer acts answers without instructions. The rate of reports is unchanged.

Jobs log for what they wait (job-waiting, waxwinghead.job.waits by class and reason).

--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/EngineEvents.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/EngineEvents.java
@@ -4,6 +4,7 @@
 import dev.waxwinghead.scheduling.job.JobRecord;
 import dev.waxwinghead.scheduling.job.RunKey;
 import dev.waxwinghead.scheduling.job.SchedulerListener;
+import dev.waxwinghead.scheduling.job.WaitReason;
 import dev.waxwinghead.scheduling.job.WorkerIncarnation;
 import dev.waxwinghead.scheduling.job.WorkerReport;
 import io.micrometer.core.instrument.Counter;
@@ -100,6 +101,21 @@
                 .write();
     }
 
+    @Override
+    public void waiting(JobRecord job, int step, WaitReason reason) {
+        String name = reason.name().toLowerCase(Locale.ROOT);
+        meters.counter("waxwinghead.job.waits", "class", job.terms().jobClass().value(), "reason", name)
+                .increment();
+        Event.of("job-waiting")
+                .with("job", job.id())
+                .with("class", job.terms().jobClass())
+                .with("step", step)
+                .with("reason", name)
+                .with("ageMillis", Math.max(0, System.currentTimeMillis() - job.acceptedEpochMillis()))
+                .with("liveRuns", job.liveRuns())
+                .write();
+    }
+
     @Override
     public void interferenceLearned(String pairs) {
         Event.of("interference-learned").with("pairs", pairs).write();
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobEngine.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobEngine.java
@@ -1,11 +1,14 @@
 package dev.waxwinghead.daemon.jobs;
 
 import dev.waxwinghead.daemon.log.Event;
+import dev.waxwinghead.daemon.part.PeriodicTask;
+import dev.waxwinghead.daemon.part.ThreadPools;
 import dev.waxwinghead.daemon.state.SectionId;
 import dev.waxwinghead.daemon.state.SharedState;
 import dev.waxwinghead.model.error.WaxwingheadException;
 import dev.waxwinghead.model.id.HostId;
 import dev.waxwinghead.model.id.WorkerId;
+import dev.waxwinghead.model.lifecycle.Closer;
 import dev.waxwinghead.model.time.Deadline;
 import dev.waxwinghead.model.time.Ticker;
 import dev.waxwinghead.scheduling.job.JobCommand;
@@ -13,16 +16,20 @@
 import dev.waxwinghead.scheduling.job.JobScheduler;
 import dev.waxwinghead.scheduling.job.JobTable;
 import dev.waxwinghead.scheduling.job.JobTransition;
+import dev.waxwinghead.scheduling.job.ReportReceipt;
 import dev.waxwinghead.scheduling.job.SchedulerListener;
 import dev.waxwinghead.scheduling.job.SchedulerTimes;
 import dev.waxwinghead.scheduling.job.WorkerIncarnation;
 import dev.waxwinghead.scheduling.job.WorkerInstructions;
 import dev.waxwinghead.scheduling.job.WorkerReport;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
@@ -46,6 +53,11 @@
 
     private static final long RETRY_DELAY_MILLIS = 100;
 
+    /** The interval at which held answers are checked; answers are late by at most this. */
+    private static final long ANSWER_CHECK_INTERVAL_MILLIS = 25;
+
+    private static final int ANSWER_THREADS = 4;
+
     private static final long NO_EPOCH = -1;
 
     private final HostId self;
@@ -56,10 +68,15 @@
     private final LongSupplier epochMillis;
     private final Semaphore wakeUps = new Semaphore(0);
     private final Thread thread;
+    private final Closer closer = Closer.create();
+    private final ExecutorService answerExecutor;
     private volatile boolean closed;
     /** Guarded by the table's monitor. */
     private final JobScheduler scheduler;
 
+    /** Guarded by the table's monitor. */
+    private final HeldAnswers held = new HeldAnswers();
+
     /** The epoch in which this host acts, or {@link #NO_EPOCH}. Guarded by the table's monitor. */
     private long ownEpoch = NO_EPOCH;
 
@@ -80,9 +97,15 @@
         this.epochMillis = epochMillis;
         this.scheduler = JobScheduler.of(table, times, events);
         this.thread = new Thread(this::run, "job-engine");
+        this.answerExecutor = ThreadPools.bounded("answers", ANSWER_THREADS, closer);
     }
 
     void start() {
+        closer.register(PeriodicTask.start(
+                ThreadPools.timer("held-answers", 1, closer),
+                ANSWER_CHECK_INTERVAL_MILLIS,
+                "held-answers",
+                this::answerDue));
         thread.start();
     }
 
@@ -100,17 +123,77 @@
         }
     }
 
-    /** Answers a worker's report. Returns empty if this host does not act or the report is out of date. */
-    Optional<WorkerInstructions> report(WorkerReport report) {
+    /**
+     * Answers a worker's report, possibly only once there is something to instruct. The answer is empty if this host
+     * does not act or the report is out of date.
+     */
+    CompletableFuture<Optional<WorkerInstructions>> report(WorkerReport report) {
+        Optional<HeldAnswers.Held> replaced = Optional.empty();
+        CompletableFuture<Optional<WorkerInstructions>> answer = new CompletableFuture<>();
         synchronized (table) {
-            if (!acting()) {
-                return Optional.empty();
+            if (closed || !acting()) {
+                return CompletableFuture.completedFuture(Optional.empty());
             }
-            Optional<WorkerInstructions> instructions = scheduler.report(report, ticker.nanos());
+            long now = ticker.nanos();
+            Optional<ReportReceipt> receipt = scheduler.receive(report, now);
             if (!report.ended().isEmpty()) {
                 wake();
             }
-            return instructions;
+            if (receipt.isEmpty()) {
+                return CompletableFuture.completedFuture(Optional.empty());
+            }
+            if (receipt.get().due(now) || scheduler.hasInstructions(receipt.get())) {
+                replaced = held.remove(report.incarnation().worker());
+                answer.complete(scheduler.answer(receipt.get()));
+            } else {
+                replaced = held.add(receipt.get(), answer);
+                scheduler.hold(receipt.get());
+            }
+        }
+        replaced.ifPresent(each -> each.answer().complete(Optional.empty()));
+        return answer;
+    }
+
+    /** Answers the reports whose answers were held back until now. */
+    private void answerDue() {
+        List<Released> released;
+        synchronized (table) {
+            released = answers(held.removeDue(ticker.nanos()));
+        }
+        released.forEach(each -> answerExecutor.execute(each::complete));
+    }
+
+    /** Answers the reports of workers that a committed plan starts tasks on. */
+    private void answerStarted(List<JobTransition> plan) {
+        List<Released> released;
+        synchronized (table) {
+            List<HeldAnswers.Held> started = new ArrayList<>();
+            for (JobTransition transition : plan) {
+                if (transition instanceof JobTransition.Started start) {
+                    held.remove(start.worker().worker()).ifPresent(started::add);
+                }
+            }
+            released = answers(started);
+        }
+        released.forEach(each -> answerExecutor.execute(each::complete));
+    }
+
+    /** Returns the answers to reports, empty ones if this host does not act any more. Requires the table's monitor. */
+    private List<Released> answers(List<HeldAnswers.Held> reports) {
+        if (reports.isEmpty()) {
+            return List.of();
+        }
+        boolean acting = acting();
+        List<Released> released = new ArrayList<>(reports.size());
+        for (HeldAnswers.Held each : reports) {
+            released.add(new Released(each, acting ? scheduler.answer(each.receipt()) : Optional.empty()));
+        }
+        return released;
+    }
+
+    private record Released(HeldAnswers.Held held, Optional<WorkerInstructions> instructions) {
+        void complete() {
+            held.answer().complete(instructions);
         }
     }
 
@@ -189,6 +272,7 @@
             return;
         }
         if (propose(new JobCommand.Advance(epoch, plan))) {
+            answerStarted(plan);
             wake();
         } else {
             resign("commit-failed");
@@ -227,7 +311,13 @@
 
     @Override
     public void close() {
-        closed = true;
+        List<Released> released;
+        synchronized (table) {
+            closed = true;
+            released = answers(held.removeAll());
+        }
+        released.forEach(Released::complete);
         thread.interrupt();
+        closer.close();
     }
 }
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobHost.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobHost.java
@@ -191,12 +191,13 @@
     }
 
     /**
-     * Answers a worker's report.
+     * Answers a worker's report. The answer may be held back for less than a second, until the worker has to start or
+     * stop a task.
      *
      * @param report the report
-     * @return the answer, or empty if this host does not act or the report is out of date
+     * @return a future of the answer, which is empty if this host does not act or the report is out of date
      */
-    public Optional<WorkerInstructions> report(WorkerReport report) {
+    public CompletableFuture<Optional<WorkerInstructions>> report(WorkerReport report) {
         return engine.report(report);
     }
 
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/JobScheduler.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/JobScheduler.java
@@ -53,14 +53,54 @@
     }
 
     /**
-     * Processes a worker's report.
+     * Processes a worker's report and answers it immediately.
      *
      * @param report the report
      * @param now the current time, in nanoseconds of a monotonic clock
      * @return the answer; empty if the report is late or of an earlier incarnation
      */
     public Optional<WorkerInstructions> report(WorkerReport report, long now) {
-        return reportHandler.handle(report, now);
+        return receive(report, now).flatMap(this::answer);
+    }
+
+    /**
+     * Processes a worker's report, to be answered with {@link #answer}.
+     *
+     * @param report the report
+     * @param now the current time, in nanoseconds of a monotonic clock
+     * @return the receipt, with the latest time to answer; empty if the report is late or of an earlier incarnation
+     */
+    public Optional<ReportReceipt> receive(WorkerReport report, long now) {
+        return reportHandler.receive(report, now);
+    }
+
+    /**
+     * Returns whether the answer to a report would start or stop a run.
+     *
+     * @param receipt the receipt of the report
+     * @return false if the answer may be held back until it is due
+     */
+    public boolean hasInstructions(ReportReceipt receipt) {
+        return reportHandler.hasInstructions(receipt);
+    }
+
+    /**
+     * Records that the answer to a report is held back. Tasks are preferably started on workers that await an answer.
+     *
+     * @param receipt the receipt of the report
+     */
+    public void hold(ReportReceipt receipt) {
+        reportHandler.hold(receipt);
+    }
+
+    /**
+     * Returns the answer to a report.
+     *
+     * @param receipt the receipt of the report
+     * @return the answer; empty if a later report of the worker or of its successor has arrived
+     */
+    public Optional<WorkerInstructions> answer(ReportReceipt receipt) {
+        return reportHandler.answer(receipt);
     }
 
     /**
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/ReportHandler.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/ReportHandler.java
@@ -10,12 +10,6 @@
 
 /** Processes workers' reports and answers them with the runs that each worker is to start, stop and throttle. */
 final class ReportHandler {
-    /** The target rate of reports of all workers together while none has anything new to report, per second. */
-    private static final int REPORTS_PER_SECOND = 300;
-
-    private static final long MIN_REPORT_MILLIS = 100;
-    private static final long MAX_REPORT_MILLIS = 1000;
-
     /**
      * The share of a leaving worker's remaining time that a task may need to finish there; the rest is left as a
      * margin.
@@ -28,7 +22,8 @@
         this.state = state;
     }
 
-    Optional<WorkerInstructions> handle(WorkerReport report, long now) {
+    /** Processes a report. Returns empty if it is late or of an earlier incarnation. */
+    Optional<ReportReceipt> receive(WorkerReport report, long now) {
         boolean known = state.workers().find(report.incarnation()).isPresent();
         Optional<WorkerEntry> registered = state.workers().register(report, now);
         if (registered.isEmpty()) {
@@ -45,7 +40,34 @@
         state.interference().learn(entry, residents, now);
         requestStops(entry, now);
         protectServingTasks(entry, residents, now);
-        return Optional.of(instructions(entry));
+        return Optional.of(new ReportReceipt(
+                report.incarnation(), report.sequence(), timing(entry).answerDueNanos(now)));
+    }
+
+    /** Returns the answer to a report, empty if a later report or another incarnation has replaced it. */
+    Optional<WorkerInstructions> answer(ReportReceipt receipt) {
+        return find(receipt).map(entry -> {
+            entry.awaitsAnswer(false);
+            return instructions(entry);
+        });
+    }
+
+    /** Returns whether the worker has to start or stop a run. */
+    boolean hasInstructions(ReportReceipt receipt) {
+        return find(receipt)
+                .filter(entry -> !stops(entry).isEmpty() || !starts(entry).isEmpty())
+                .isPresent();
+    }
+
+    /** Marks a worker whose answer is held back, so that new tasks are started there without a delay. */
+    void hold(ReportReceipt receipt) {
+        find(receipt).ifPresent(entry -> entry.awaitsAnswer(true));
+    }
+
+    private Optional<WorkerEntry> find(ReportReceipt receipt) {
+        return state.workers()
+                .find(receipt.incarnation())
+                .filter(entry -> entry.report().sequence() == receipt.sequence());
     }
 
     private void recordReadiness(WorkerEntry entry) {
@@ -127,7 +149,7 @@
                 starts(entry),
                 stops(entry),
                 throttles(entry),
-                nextReportMillis());
+                timing(entry).nextReportMillis());
     }
 
     private List<WorkerInstructions.Start> starts(WorkerEntry entry) {
@@ -181,8 +203,14 @@
         return throttles;
     }
 
-    private long nextReportMillis() {
-        long intervalMillis = 1000L * state.workers().entries().size() / REPORTS_PER_SECOND;
-        return Math.max(MIN_REPORT_MILLIS, Math.min(MAX_REPORT_MILLIS, intervalMillis));
+    private ReportTiming timing(WorkerEntry entry) {
+        boolean hasRoom = entry.hasRoom() && !entry.report().leaving() && !entry.hasExited();
+        return ReportTiming.of(state.workers().entries().size(), hasRoom, runsFiniteTasks(entry));
+    }
+
+    private boolean runsFiniteTasks(WorkerEntry entry) {
+        return entry.observations().keySet().stream()
+                .anyMatch(run ->
+                        state.step(run.task()).filter(step -> !step.lasting()).isPresent());
     }
 }
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/SchedulerListener.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/SchedulerListener.java
@@ -54,6 +54,15 @@
      */
     void ended(WorkerReport.EndedRun end, WorkerIncarnation worker);
 
+    /**
+     * Called when a job waits for another reason than before, at most once a second for each job.
+     *
+     * @param job the job
+     * @param step the position of the step whose tasks wait, from 0
+     * @param reason the reason
+     */
+    void waiting(JobRecord job, int step, WaitReason reason);
+
     /**
      * Called periodically with the learned interference between images.
      *
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/SchedulerState.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/SchedulerState.java
@@ -23,12 +23,14 @@
     private final WorkerHealth<JobId> health = WorkerHealth.create(QUARANTINE_NANOS);
     private final InterferenceControl interference = new InterferenceControl();
     private final Map<TaskKey, Set<WorkerId>> avoidedWorkers = new HashMap<>();
+    private final WaitLog waits;
     private WorkerRegistry workers = new WorkerRegistry();
 
     SchedulerState(JobTable table, SchedulerTimes times, SchedulerListener events) {
         this.table = table;
         this.times = times;
         this.events = events;
+        this.waits = new WaitLog(events);
     }
 
     JobTable table() {
@@ -43,6 +45,10 @@
         return events;
     }
 
+    WaitLog waits() {
+        return waits;
+    }
+
     WorkerHealth<JobId> health() {
         return health;
     }
@@ -99,6 +105,7 @@
     void forget(JobId job) {
         health.forget(job);
         interference.forget(job);
+        waits.forget(job);
         avoidedWorkers.keySet().removeIf(task -> task.job().equals(job));
     }
 }
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/StartPlan.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/StartPlan.java
@@ -11,12 +11,14 @@
 final class StartPlan {
     private final SchedulerState state;
     private final TaskPlacer placer;
+    private final long now;
     private final List<JobTransition.Started> transitions = new ArrayList<>();
     private final Map<StepRecord, Map<WorkerId, Integer>> placed = new HashMap<>();
 
-    StartPlan(SchedulerState state, TaskPlacer placer) {
+    StartPlan(SchedulerState state, TaskPlacer placer, long now) {
         this.state = state;
         this.placer = placer;
+        this.now = now;
     }
 
     List<JobTransition.Started> transitions() {
@@ -72,6 +74,7 @@
                 start(run, worker.get());
             } else if (!replacements) {
                 startStarved(job, step, run, perWorker);
+                recordWait(job, position, step, perWorker);
                 return;
             } else if (!reserveCapacity(job, step, perWorker)) {
                 return;
@@ -79,6 +82,11 @@
         }
     }
 
+    private void recordWait(JobRecord job, int position, StepRecord step, Map<WorkerId, Integer> perWorker) {
+        WaitReason reason = placer.waitReason(job.terms().service(), job.id(), step.step(), perWorker);
+        state.waits().waiting(job, position, reason, now);
+    }
+
     private boolean reserveCapacity(JobRecord job, StepRecord step, Map<WorkerId, Integer> perWorker) {
         return placer.reserve(job.terms().service(), job.id(), step.step(), perWorker);
     }
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TaskPlacer.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TaskPlacer.java
@@ -34,6 +34,12 @@
     /** Outweighs any free capacity, since tasks take several times as long away from their data. */
     private static final double DATA_RACK_WEIGHT = 10;
 
+    /** Prefers workers that await an answer, since a start reaches other workers only after their next report. */
+    private static final double AWAITS_ANSWER_WEIGHT = 0.4;
+
+    /** The free capacity from which a worker counts as having room, in millicores: a small task. */
+    private static final long MIN_ROOM_MILLICORES = 500;
+
     /** The share of free capacity from which no job may be left without a running task: one half less a margin. */
     private static final double MOSTLY_FREE_SHARE = 0.45;
 
@@ -62,19 +68,33 @@
      * @param step the step
      * @param perWorker the number of tasks of the step on each worker; updated if a worker is chosen
      * @param avoid the workers to choose last, such as those on which the task failed
-     * @return the worker, empty if no worker is suitable
+     * @return the worker, empty if no worker is suitable; {@link #waitReason} tells why
      */
     Optional<WorkerEntry> place(
             ServiceName service, JobId job, JobStep step, Map<WorkerId, Integer> perWorker, Set<WorkerId> avoid) {
         Optional<WorkerCapacity> best = best(
                 service,
-                candidate -> allowed(candidate, job, step, perWorker),
+                candidate -> obstacle(candidate, job, step, perWorker).isEmpty(),
                 candidate -> score(candidate, step)
                         - (avoid.contains(candidate.entry().id()) ? AVOIDANCE_PENALTY : 0));
         best.ifPresent(candidate -> allocate(candidate, step, perWorker));
         return best.map(WorkerCapacity::entry);
     }
 
+    /**
+     * Returns why {@link #place} found no worker.
+     *
+     * @return the reason of the worker that comes closest to being suitable
+     */
+    WaitReason waitReason(ServiceName service, JobId job, JobStep step, Map<WorkerId, Integer> perWorker) {
+        WaitReason closest = WaitReason.NO_WORKER;
+        for (WorkerCapacity candidate : candidates.getOrDefault(service, List.of())) {
+            WaitReason obstacle = obstacle(candidate, job, step, perWorker).orElse(closest);
+            closest = obstacle.compareTo(closest) > 0 ? obstacle : closest;
+        }
+        return closest;
+    }
+
     /** Returns the eligible worker with the highest score, the first in case of a tie. */
     private Optional<WorkerCapacity> best(
             ServiceName service, Predicate<WorkerCapacity> eligible, ToDoubleFunction<WorkerCapacity> score) {
@@ -154,26 +174,35 @@
         return freest.isPresent();
     }
 
-    private boolean allowed(WorkerCapacity candidate, JobId job, JobStep step, Map<WorkerId, Integer> perWorker) {
-        return candidate.fits(step)
-                && admitsBestEffort(candidate, step)
-                && meetsConstraints(candidate, job, step, perWorker);
+    private Optional<WaitReason> obstacle(
+            WorkerCapacity candidate, JobId job, JobStep step, Map<WorkerId, Integer> perWorker) {
+        if (!suits(candidate, step, perWorker)) {
+            return Optional.of(WaitReason.NO_SUITABLE_WORKER);
+        }
+        if (!health.accepts(candidate.entry().id(), job, now)) {
+            return Optional.of(WaitReason.WORKERS_RESTRICTED);
+        }
+        if (!candidate.fits(step) || (step.bestEffort() && !hasUnusedCapacity(candidate, step))) {
+            return Optional.of(WaitReason.NO_CAPACITY);
+        }
+        if (step.bestEffort() && !interference.admits(candidate.residents(), step, now)) {
+            return Optional.of(WaitReason.SERVING_TASKS_NEAR_TARGET);
+        }
+        return Optional.empty();
     }
 
     private boolean meetsConstraints(
             WorkerCapacity candidate, JobId job, JobStep step, Map<WorkerId, Integer> perWorker) {
-        WorkerId worker = candidate.entry().id();
-        boolean labelled = step.requiredLabel().isEmpty()
-                || candidate.entry().report().labels().contains(step.requiredLabel());
-        boolean belowLimit = step.maxPerWorker() == 0 || perWorker.getOrDefault(worker, 0) < step.maxPerWorker();
-        return labelled && belowLimit && health.accepts(worker, job, now);
+        return suits(candidate, step, perWorker)
+                && health.accepts(candidate.entry().id(), job, now);
     }
 
-    private boolean admitsBestEffort(WorkerCapacity candidate, JobStep step) {
-        if (!step.bestEffort()) {
-            return true;
-        }
-        return hasUnusedCapacity(candidate, step) && interference.admits(candidate.residents(), step, now);
+    private static boolean suits(WorkerCapacity candidate, JobStep step, Map<WorkerId, Integer> perWorker) {
+        boolean labelled = step.requiredLabel().isEmpty()
+                || candidate.entry().report().labels().contains(step.requiredLabel());
+        return labelled
+                && (step.maxPerWorker() == 0
+                        || perWorker.getOrDefault(candidate.entry().id(), 0) < step.maxPerWorker());
     }
 
     private static boolean hasUnusedCapacity(WorkerCapacity candidate, JobStep step) {
@@ -186,14 +215,26 @@
                         && step.dataRack().equals(candidate.entry().report().rack())
                 ? DATA_RACK_WEIGHT
                 : 0;
+        double promptness = candidate.entry().awaitsAnswer() ? AWAITS_ANSWER_WEIGHT : 0;
         if (step.bestEffort()) {
-            return locality + candidate.unusedMillicores() / capacity;
+            return locality + promptness + candidate.unusedMillicores() / capacity;
         }
         if (step.serves()) {
             return locality
                     + SAME_IMAGE_WEIGHT * candidate.shareOfImage(step.image())
                     - candidate.freeMillicores() / capacity;
         }
-        return locality + candidate.freeMillicores() / capacity;
+        return locality + promptness + candidate.freeMillicores() / capacity;
+    }
+
+    /** Records on each worker whether it has room after this round. */
+    void recordRoom() {
+        for (List<WorkerCapacity> workers : candidates.values()) {
+            for (WorkerCapacity worker : workers) {
+                worker.entry()
+                        .hasRoom(worker.freeMillicores() >= MIN_ROOM_MILLICORES
+                                || worker.unusedMillicores() >= MIN_ROOM_MILLICORES);
+            }
+        }
     }
 }
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TransitionPlanner.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TransitionPlanner.java
@@ -3,9 +3,11 @@
 import dev.waxwinghead.model.id.JobId;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 /** Plans the next transitions to commit: ends, interruptions on lost workers, starts, and removals of jobs. */
@@ -129,7 +131,8 @@
         if (plan.size() >= MAX_TRANSITIONS || state.table().active().isEmpty()) {
             return;
         }
-        StartPlan starts = new StartPlan(state, placer(now));
+        TaskPlacer placer = placer(now, finiteRunsEndedBy(plan));
+        StartPlan starts = new StartPlan(state, placer, now);
         List<JobRecord> jobs = JobOrdering.ordered(state.table(), epochMillis);
         jobs.forEach(job -> starts.addReplacements(job, epochMillis));
         for (JobRecord job : jobs) {
@@ -139,14 +142,31 @@
             }
         }
         plan.addAll(starts.transitions());
+        placer.recordRoom();
     }
 
-    private TaskPlacer placer(long now) {
+    /**
+     * Returns the finite runs that end with a plan. Lasting runs are left out: their capacity is kept for the runs that
+     * replace them, which can be planned only once the ends are committed.
+     */
+    private Set<RunKey> finiteRunsEndedBy(List<JobTransition> plan) {
+        Set<RunKey> runs = new HashSet<>();
+        for (JobTransition transition : plan) {
+            if (transition instanceof JobTransition.Ended ended
+                    && state.step(ended.run().task()).filter(JobStep::lasting).isEmpty()) {
+                runs.add(ended.run());
+            }
+        }
+        return runs;
+    }
+
+    /** Returns a placer with the capacity of all workers, including that of the runs that are ending. */
+    private TaskPlacer placer(long now, Set<RunKey> ending) {
         TaskPlacer placer = new TaskPlacer(state.health(), state.interference(), now);
         for (WorkerEntry entry : state.workers().entries()) {
             state.health().review(entry.id(), now);
             if (acceptsTasks(entry, now)) {
-                placer.add(capacityOf(entry));
+                placer.add(capacityOf(entry, ending));
             }
         }
         return placer;
@@ -159,10 +179,12 @@
                 && !entry.silentFor(now, MAX_REPORT_AGE_NANOS);
     }
 
-    private WorkerCapacity capacityOf(WorkerEntry entry) {
+    private WorkerCapacity capacityOf(WorkerEntry entry, Set<RunKey> ending) {
         WorkerCapacity capacity = new WorkerCapacity(entry, state.residents(entry));
         for (RunKey run : state.table().runsOn(entry.incarnation())) {
-            state.step(run.task()).ifPresent(capacity::allocate);
+            if (!ending.contains(run)) {
+                state.step(run.task()).ifPresent(capacity::allocate);
+            }
         }
         return capacity;
     }
--- /dev/null
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/WaitLog.java
@@ -0,0 +1,36 @@
+package dev.waxwinghead.scheduling.job;
+
+import dev.waxwinghead.model.id.JobId;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+/** Reports for which reason jobs wait, at most once a second for each job and only when the reason has changed. */
+final class WaitLog {
+    private static final long MIN_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+    private final SchedulerListener events;
+    private final Map<JobId, Entry> entries = new HashMap<>();
+
+    WaitLog(SchedulerListener events) {
+        this.events = events;
+    }
+
+    /** Records that the tasks of a job's step wait. The first record of a wait is not reported, as most are short. */
+    void waiting(JobRecord job, int step, WaitReason reason, long now) {
+        Entry known = entries.get(job.id());
+        if (known == null) {
+            entries.put(job.id(), new Entry(null, now));
+        } else if (known.reason != reason && now - known.reportedNanos >= MIN_INTERVAL_NANOS) {
+            entries.put(job.id(), new Entry(reason, now));
+            events.waiting(job, step, reason);
+        }
+    }
+
+    void forget(JobId job) {
+        entries.remove(job);
+    }
+
+    /** The latest reported reason, null before the first, and when it was reported. */
+    private record Entry(WaitReason reason, long reportedNanos) {}
+}
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/WorkerEntry.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/WorkerEntry.java
@@ -20,6 +20,8 @@
     private long learnedNanos;
     private long evictedNanos;
     private long refusedUntilNanos = Long.MIN_VALUE;
+    private boolean awaitsAnswer;
+    private boolean hasRoom = true;
 
     WorkerEntry(WorkerReport report, long now) {
         this.incarnation = report.incarnation();
@@ -46,6 +48,7 @@
     void update(WorkerReport next, long now) {
         report = next;
         reportedNanos = now;
+        awaitsAnswer = false;
         Map<RunKey, RunObservation> previous = new HashMap<>(observations);
         observations.clear();
         for (WorkerReport.RunningTask task : next.running()) {
@@ -114,6 +117,24 @@
         evictedNanos = now;
     }
 
+    /** Records whether the answer to the latest report is held back. */
+    void awaitsAnswer(boolean held) {
+        awaitsAnswer = held;
+    }
+
+    boolean awaitsAnswer() {
+        return awaitsAnswer;
+    }
+
+    /** Records whether the worker had capacity for more tasks at the end of a scheduling round. */
+    void hasRoom(boolean room) {
+        hasRoom = room;
+    }
+
+    boolean hasRoom() {
+        return hasRoom;
+    }
+
     void refused(long untilNanos) {
         refusedUntilNanos = untilNanos;
     }
--- a/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobSchedulerTests.java
+++ b/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobSchedulerTests.java
@@ -394,6 +394,9 @@
         @Override
         public void ended(EndedRun end, WorkerIncarnation worker) {}
 
+        @Override
+        public void waiting(JobRecord job, int step, WaitReason reason) {}
+
         @Override
         public void interferenceLearned(String pairs) {}
 
