Accept drain requests that do not name the host

Cause: 'waxwinghead drain worker ID' and 'drain upstream ID' send no host field, and the server refused the missing value of a primitive boolean. DrainHandlerTests posts each form; 2 of 5 failed before, all pass now.

--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/operator/DrainHandler.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/operator/DrainHandler.java
@@ -43,9 +43,13 @@
             @JsonProperty("changeId") ChangeId changeId,
             @JsonProperty("worker") String worker,
             @JsonProperty("upstream") String upstream,
-            @JsonProperty("host") boolean host) {
+            @JsonProperty("host") Boolean host) {
+        private boolean drainsHost() {
+            return Boolean.TRUE.equals(host);
+        }
+
         DrainKind kind() {
-            int targets = (worker == null ? 0 : 1) + (upstream == null ? 0 : 1) + (host ? 1 : 0);
+            int targets = (worker == null ? 0 : 1) + (upstream == null ? 0 : 1) + (drainsHost() ? 1 : 0);
             if (targets != 1 || changeId == null) {
                 throw WaxwingheadException.of(
                         ErrorKind.INVALID_INPUT,
@@ -53,14 +57,14 @@
                                 + (changeId == null ? " and no changeId" : ""),
                         "give a changeId and one of worker, upstream or host");
             }
-            if (host) {
+            if (drainsHost()) {
                 return DrainKind.HOST;
             }
             return worker != null ? DrainKind.WORKER : DrainKind.UPSTREAM;
         }
 
         String name(String self) {
-            if (host) {
+            if (drainsHost()) {
                 return self;
             }
             return worker != null ? worker : upstream;
