Find slow workers, share learned interference, count arriving tasks, rank workers once a step

Messages between hosts that are truncated or have fields of other types fail with a typed error.

Tests: FleetTests.SlowWorkers, JobSchedulerTests.StartingBestEffortTasks, PairwiseInterferenceTests, InterferenceSharingTests.

--- a/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/peer/PeerChannel.java
+++ b/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/peer/PeerChannel.java
@@ -18,6 +18,6 @@
     SCHEDULERS,
     /** The configuration revision in force on each entry host. */
     STATUS,
-    /** Calls about submitted jobs, forwarded to the acting scheduler. */
+    /** Calls about submitted jobs, forwarded to the acting scheduler, and the estimates that it has learned. */
     JOBS
 }
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/codec/MessagePackCodec.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/codec/MessagePackCodec.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePackException;
 import org.msgpack.core.MessageUnpacker;
 
 /** Writes and reads MessagePack messages and their common field types. */
@@ -37,11 +38,12 @@
      * @param reader reads the fields
      * @param <T> the type of the value
      * @return the value returned by the reader
+     * @throws WaxwingheadException of kind {@code INTERNAL} if the message is truncated or has fields of other types
      */
     public static <T> T unpack(byte[] bytes, Reader<T> reader) {
         try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
             return reader.read(unpacker);
-        } catch (IOException e) {
+        } catch (IOException | MessagePackException e) {
             throw WaxwingheadException.of(
                     ErrorKind.INTERNAL, "a message is malformed", "run the same version on all entry hosts", e);
         }
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/EngineEvents.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/EngineEvents.java
@@ -1,6 +1,7 @@
 package dev.waxwinghead.daemon.jobs;
 
 import dev.waxwinghead.daemon.log.Event;
+import dev.waxwinghead.model.id.WorkerId;
 import dev.waxwinghead.scheduling.job.JobRecord;
 import dev.waxwinghead.scheduling.job.RunKey;
 import dev.waxwinghead.scheduling.job.SchedulerListener;
@@ -116,6 +117,16 @@
                 .write();
     }
 
+    @Override
+    public void workerSpeed(WorkerId worker, boolean slow, double factor) {
+        meters.counter("waxwinghead.job.worker.speed.changes", "slow", Boolean.toString(slow))
+                .increment();
+        Event.of(slow ? "worker-slow" : "worker-sound")
+                .with("worker", worker)
+                .with("percentOfOthers", Math.round(100 * factor))
+                .write();
+    }
+
     @Override
     public void interferenceLearned(String pairs) {
         Event.of("interference-learned").with("pairs", pairs).write();
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobEngine.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobEngine.java
@@ -11,6 +11,7 @@
 import dev.waxwinghead.model.lifecycle.Closer;
 import dev.waxwinghead.model.time.Deadline;
 import dev.waxwinghead.model.time.Ticker;
+import dev.waxwinghead.scheduling.interference.PairEstimate;
 import dev.waxwinghead.scheduling.job.JobCommand;
 import dev.waxwinghead.scheduling.job.JobOutcome;
 import dev.waxwinghead.scheduling.job.JobScheduler;
@@ -197,6 +198,20 @@
         }
     }
 
+    /** Returns what was learned about the interference between images, empty if this host does not act. */
+    List<PairEstimate> interferenceEstimates() {
+        synchronized (table) {
+            return acting() ? scheduler.interferenceEstimates(ticker.nanos()) : List.of();
+        }
+    }
+
+    /** Adopts what the acting host has learned about the interference between images. */
+    void adoptInterference(List<PairEstimate> estimates) {
+        synchronized (table) {
+            scheduler.adoptInterference(estimates, ticker.nanos());
+        }
+    }
+
     /** Records that a worker exits. Returns false if this host does not act. */
     boolean workerExited(WorkerId worker, OptionalLong startedEpochMillis) {
         synchronized (table) {
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobHost.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobHost.java
@@ -154,6 +154,10 @@
         update.run();
         ScheduledExecutorService timer = ThreadPools.timer("peer-directory", 1, closer);
         closer.register(PeriodicTask.start(timer, PEER_UPDATE_INTERVAL_MILLIS, "peer-directory", update));
+        InterferenceSharing sharing = new InterferenceSharing(network, engine);
+        sharing.register();
+        closer.register(
+                PeriodicTask.start(timer, InterferenceSharing.INTERVAL_MILLIS, "interference-sharing", sharing::send));
     }
 
     private HostStatus status() {
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/interference/PairwiseInterference.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/interference/PairwiseInterference.java
@@ -1,6 +1,8 @@
 package dev.waxwinghead.scheduling.interference;
 
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 
 /**
@@ -142,6 +144,42 @@
         return Math.max(0, increase.meanAt(now, PRIOR_INCREASE));
     }
 
+    /**
+     * Returns the reliable estimates, to be adopted by a model in another process.
+     *
+     * @param now the current time, in nanoseconds
+     * @return the estimates, empty if none is reliable
+     */
+    public List<PairEstimate> reliableEstimates(long now) {
+        List<PairEstimate> estimates = new ArrayList<>();
+        increases.forEach((image, known) -> known.forEach((other, increase) -> {
+            if (isReliable(image, other, now)) {
+                estimates.add(new PairEstimate(
+                        image,
+                        other,
+                        increase.meanAt(now, PRIOR_INCREASE),
+                        increase.varianceAt(now, INCREASE_VARIANCE_GROWTH_PER_SECOND)));
+            }
+        }));
+        return estimates;
+    }
+
+    /**
+     * Adopts the estimates of another model where they are more reliable than the own ones.
+     *
+     * @param estimates the estimates
+     * @param now the current time, in nanoseconds
+     */
+    public void adopt(List<PairEstimate> estimates, long now) {
+        for (PairEstimate estimate : estimates) {
+            Map<String, Estimate> known = increases.computeIfAbsent(estimate.image(), key -> new HashMap<>());
+            Estimate own = known.get(estimate.other());
+            if (own == null || own.varianceAt(now, INCREASE_VARIANCE_GROWTH_PER_SECOND) > estimate.variance()) {
+                known.put(estimate.other(), new Estimate(estimate.increase(), estimate.variance(), now));
+            }
+        }
+    }
+
     /**
      * Formats the estimates of all pairs for a log line.
      *
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/InterferenceControl.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/InterferenceControl.java
@@ -1,6 +1,7 @@
 package dev.waxwinghead.scheduling.job;
 
 import dev.waxwinghead.model.id.JobId;
+import dev.waxwinghead.scheduling.interference.PairEstimate;
 import dev.waxwinghead.scheduling.interference.PairwiseInterference;
 import java.util.HashMap;
 import java.util.List;
@@ -127,6 +128,16 @@
         return false;
     }
 
+    /** Returns the reliable estimates, for the scheduler that takes over. */
+    List<PairEstimate> reliableEstimates(long now) {
+        return model.reliableEstimates(now);
+    }
+
+    /** Adopts the estimates of the acting scheduler. */
+    void adopt(List<PairEstimate> estimates, long now) {
+        model.adopt(estimates, now);
+    }
+
     /** Returns a description of the learned pairs of images, for a log line. */
     String describe(long now) {
         return model.describe(now);
@@ -134,11 +145,15 @@
 
     /**
      * Returns whether a worker's serving tasks tolerate another best-effort task, also at the next peak of their load.
+     *
+     * @param residents the tasks listed by the worker's latest report
+     * @param arriving the best-effort tasks that the gauges of the report do not show yet
+     * @param step the step of the task
+     * @param now the current time, in nanoseconds
      */
-    boolean admits(List<ResidentTask> residents, JobStep step, long now) {
-        double units = step.need().millicores() / MILLICORES_PER_UNIT;
+    boolean admits(List<ResidentTask> residents, List<JobStep> arriving, JobStep step, long now) {
         for (ResidentTask resident : residents) {
-            if (resident.step().serves() && !admits(resident, step, units, now)) {
+            if (resident.step().serves() && !admits(resident, arriving, step, now)) {
                 return false;
             }
         }
@@ -171,18 +186,27 @@
         return LOG_ADMISSION_RATIO - model.peak(serving.job(), now) - rise;
     }
 
-    private boolean admits(ResidentTask serving, JobStep step, double units, long now) {
+    private boolean admits(ResidentTask serving, List<JobStep> arriving, JobStep step, long now) {
         String image = serving.step().image();
-        double rise = units * model.latencyIncrease(image, step.image(), now);
         double present = serving.ready() ? serving.logRatio() : model.baseline(serving.job());
-        if (present > LOG_ADMISSION_RATIO) {
+        double arrivingRise = 0;
+        for (JobStep other : arriving) {
+            arrivingRise += declaredRise(image, other, now);
+        }
+        if (present + arrivingRise > LOG_ADMISSION_RATIO) {
             return false;
         }
+        double rise = declaredRise(image, step, now);
         if (!model.isReliable(image, step.image(), now)) {
-            return present + rise <= LOG_ADMISSION_RATIO;
+            return present + arrivingRise + rise <= LOG_ADMISSION_RATIO;
         }
         return rise <= NEGLIGIBLE_RISE
-                || Math.max(present, model.peak(serving.job(), now)) + rise <= LOG_ADMISSION_RATIO;
+                || Math.max(present, model.peak(serving.job(), now)) + arrivingRise + rise <= LOG_ADMISSION_RATIO;
+    }
+
+    /** Returns the rise that a best-effort task with the declared processor time is expected to cause. */
+    private double declaredRise(String servingImage, JobStep step, long now) {
+        return step.need().millicores() / MILLICORES_PER_UNIT * model.latencyIncrease(servingImage, step.image(), now);
     }
 
     /** Removes the estimates of a job that has ended. */
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/JobScheduler.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/JobScheduler.java
@@ -1,6 +1,7 @@
 package dev.waxwinghead.scheduling.job;
 
 import dev.waxwinghead.model.id.WorkerId;
+import dev.waxwinghead.scheduling.interference.PairEstimate;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -126,6 +127,26 @@
         return state.workers().find(worker).map(WorkerEntry::incarnation);
     }
 
+    /**
+     * Returns what was learned about the interference between images, for the scheduler that takes over.
+     *
+     * @param now the current time, in nanoseconds of a monotonic clock
+     * @return the reliable estimates
+     */
+    public List<PairEstimate> interferenceEstimates(long now) {
+        return state.interference().reliableEstimates(now);
+    }
+
+    /**
+     * Adopts what the acting scheduler has learned about the interference between images.
+     *
+     * @param estimates the estimates
+     * @param now the current time, in nanoseconds of a monotonic clock
+     */
+    public void adoptInterference(List<PairEstimate> estimates, long now) {
+        state.interference().adopt(estimates, now);
+    }
+
     /**
      * Plans the next transitions. Callers must commit them before the next call.
      *
--- /dev/null
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/RankedWorkers.java
@@ -0,0 +1,89 @@
+package dev.waxwinghead.scheduling.job;
+
+import dev.waxwinghead.model.id.WorkerId;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.Predicate;
+import java.util.function.ToDoubleFunction;
+
+/**
+ * Assigns the tasks of one step to the eligible workers with the highest scores.
+ *
+ * <p>Answers the load of wide steps on many workers: all workers are scored once for the step, and only the worker that
+ * got a task is scored again.
+ */
+final class RankedWorkers {
+    private static final Comparator<Ranked> ORDER =
+            Comparator.comparingDouble((Ranked ranked) -> -ranked.score).thenComparingInt(Ranked::position);
+
+    private final List<WorkerCapacity> workers;
+    private final Predicate<WorkerCapacity> eligible;
+    private final ToDoubleFunction<WorkerCapacity> score;
+    private final Consumer<WorkerCapacity> allocate;
+    private final PriorityQueue<Ranked> ranking = new PriorityQueue<>(ORDER);
+    private boolean ranked;
+
+    RankedWorkers(
+            List<WorkerCapacity> workers,
+            Predicate<WorkerCapacity> eligible,
+            ToDoubleFunction<WorkerCapacity> score,
+            Consumer<WorkerCapacity> allocate) {
+        this.workers = workers;
+        this.eligible = eligible;
+        this.score = score;
+        this.allocate = allocate;
+    }
+
+    /**
+     * Chooses the worker for another task, and deducts the task from the worker's capacity.
+     *
+     * @param avoid the workers to choose last, such as those on which the task failed
+     * @return the worker, empty if no worker is eligible
+     */
+    Optional<WorkerEntry> place(Set<WorkerId> avoid) {
+        rankAll();
+        List<Ranked> avoided = new ArrayList<>();
+        Optional<Ranked> best = Optional.empty();
+        while (best.isEmpty() && !ranking.isEmpty()) {
+            Ranked next = ranking.poll();
+            if (!eligible.test(next.worker)) {
+                continue;
+            }
+            if (avoid.contains(next.worker.entry().id())) {
+                avoided.add(next);
+            } else {
+                best = Optional.of(next);
+            }
+        }
+        if (best.isEmpty() && !avoided.isEmpty()) {
+            best = Optional.of(avoided.remove(0));
+        }
+        ranking.addAll(avoided);
+        best.ifPresent(chosen -> {
+            allocate.accept(chosen.worker);
+            ranking.add(new Ranked(chosen.worker, score.applyAsDouble(chosen.worker), chosen.position));
+        });
+        return best.map(chosen -> chosen.worker.entry());
+    }
+
+    private void rankAll() {
+        if (ranked) {
+            return;
+        }
+        ranked = true;
+        for (int position = 0; position < workers.size(); position++) {
+            WorkerCapacity worker = workers.get(position);
+            if (eligible.test(worker)) {
+                ranking.add(new Ranked(worker, score.applyAsDouble(worker), position));
+            }
+        }
+    }
+
+    /** A worker with its score, and its position among all workers for the case of a tie. */
+    private record Ranked(WorkerCapacity worker, double score, int position) {}
+}
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/ReportHandler.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/ReportHandler.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 
 /** Processes workers' reports and answers them with the runs that each worker is to start, stop and throttle. */
 final class ReportHandler {
@@ -16,6 +17,15 @@
      */
     private static final double LEAVING_TIME_SHARE = 0.7;
 
+    /** How long a task runs on a slow worker before it is moved; it may show that the worker is sound again. */
+    private static final long MIN_TRIAL_NANOS = TimeUnit.MILLISECONDS.toNanos(1100);
+
+    /** The time to stop a task, to start it on another worker and to load its checkpoint. */
+    private static final double MOVE_MILLIS = 700;
+
+    /** How many times longer a task must take on a slow worker than elsewhere to be moved. */
+    private static final double MIN_MOVE_GAIN = 1.5;
+
     private final SchedulerState state;
 
     ReportHandler(SchedulerState state) {
@@ -36,6 +46,7 @@
         }
         entry.extendLease(now + state.times().leaseBoundNanos());
         recordReadiness(entry);
+        recordProgress(entry, now);
         List<InterferenceControl.ResidentTask> residents = state.residents(entry);
         state.interference().learn(entry, residents, now);
         requestStops(entry, now);
@@ -82,6 +93,12 @@
         }
     }
 
+    private void recordProgress(WorkerEntry entry, long now) {
+        entry.observations()
+                .forEach((run, observed) -> state.step(run.task())
+                        .ifPresent(step -> state.slowWorkers().measure(entry, run, step, observed, now)));
+    }
+
     private void requestStops(WorkerEntry entry, long now) {
         entry.stopping().removeIf(run -> !state.table().isLive(entry.incarnation(), run));
         for (RunKey run : state.table().runsOn(entry.incarnation())) {
@@ -112,9 +129,27 @@
             state.avoid(run.task(), entry.id());
             return Optional.of("no-progress");
         }
+        if (entry.hasListed(run, now - MIN_TRIAL_NANOS)
+                && state.slowWorkers().slow(entry.id())
+                && endsSoonerElsewhere(entry, step, observed)) {
+            state.avoid(run.task(), entry.id());
+            return Optional.of("slow-worker");
+        }
         return Optional.empty();
     }
 
+    /** Returns whether a task on a slow worker would end clearly sooner on another one, from its checkpoint if any. */
+    private boolean endsSoonerElsewhere(WorkerEntry entry, JobStep step, RunObservation observed) {
+        if (step.lasting() || step.gang()) {
+            return false;
+        }
+        double leftShare = (100 - observed.percent()) / 100.0;
+        double hereMillis =
+                step.estimateMillis() * leftShare / state.slowWorkers().factor(entry.id());
+        double elsewhereMillis = step.estimateMillis() * (step.checkpoints() ? leftShare : 1) + MOVE_MILLIS;
+        return hereMillis > MIN_MOVE_GAIN * elsewhereMillis;
+    }
+
     private static boolean mustLeave(WorkerEntry entry, JobStep step, RunObservation observed) {
         if (step.lasting()) {
             return true;
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/RunObservation.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/RunObservation.java
@@ -1,9 +1,17 @@
 package dev.waxwinghead.scheduling.job;
 
+import java.util.concurrent.TimeUnit;
+
 /** Holds the state of a run according to its worker's reports. */
 final class RunObservation {
     private static final long NEVER = Long.MIN_VALUE;
 
+    /** The shortest time over which progress is measured, since reports give whole percents. */
+    private static final long MIN_PROGRESS_WINDOW_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
+
+    private final long firstListedNanos;
+    private int windowPercent;
+    private long windowStartNanos;
     private int percent;
     private long percentChangedNanos;
     private String checkpoint;
@@ -11,6 +19,9 @@
     private long overTargetSinceNanos = NEVER;
 
     RunObservation(WorkerReport.RunningTask task, long now) {
+        this.firstListedNanos = now;
+        this.windowPercent = task.percent();
+        this.windowStartNanos = now;
         this.percent = task.percent();
         this.percentChangedNanos = now;
         this.checkpoint = task.checkpoint();
@@ -40,6 +51,25 @@
         return overTargetSinceNanos == NEVER ? 0 : now - overTargetSinceNanos;
     }
 
+    /**
+     * Returns the progress since the last measurement in percent per second, and starts the next measurement; -1 if the
+     * last one is too recent.
+     */
+    double takeProgress(long now) {
+        long nanos = now - windowStartNanos;
+        if (nanos < MIN_PROGRESS_WINDOW_NANOS) {
+            return -1;
+        }
+        double progress = (percent - windowPercent) * (double) TimeUnit.SECONDS.toNanos(1) / nanos;
+        windowPercent = percent;
+        windowStartNanos = now;
+        return Math.max(0, progress);
+    }
+
+    long firstListedNanos() {
+        return firstListedNanos;
+    }
+
     int percent() {
         return percent;
     }
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/SchedulerListener.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/SchedulerListener.java
@@ -1,5 +1,7 @@
 package dev.waxwinghead.scheduling.job;
 
+import dev.waxwinghead.model.id.WorkerId;
+
 /**
  * Listens to the decisions of a {@link JobScheduler}, for logs and metrics. Implementations must not block.
  *
@@ -63,6 +65,15 @@
      */
     void waiting(JobRecord job, int step, WaitReason reason);
 
+    /**
+     * Called when a worker is found to be slow, or sound again.
+     *
+     * @param worker the worker
+     * @param slow whether the worker is slow now
+     * @param factor the progress of its tasks as a multiple of that of the same steps on other workers
+     */
+    void workerSpeed(WorkerId worker, boolean slow, double factor);
+
     /**
      * Called periodically with the learned interference between images.
      *
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/SchedulerState.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/SchedulerState.java
@@ -24,6 +24,7 @@
     private final InterferenceControl interference = new InterferenceControl();
     private final Map<TaskKey, Set<WorkerId>> avoidedWorkers = new HashMap<>();
     private final WaitLog waits;
+    private final SlowWorkerDetector slowWorkers;
     private WorkerRegistry workers = new WorkerRegistry();
 
     SchedulerState(JobTable table, SchedulerTimes times, SchedulerListener events) {
@@ -31,6 +32,7 @@
         this.times = times;
         this.events = events;
         this.waits = new WaitLog(events);
+        this.slowWorkers = new SlowWorkerDetector(events);
     }
 
     JobTable table() {
@@ -45,6 +47,10 @@
         return events;
     }
 
+    SlowWorkerDetector slowWorkers() {
+        return slowWorkers;
+    }
+
     WaitLog waits() {
         return waits;
     }
@@ -106,6 +112,7 @@
         health.forget(job);
         interference.forget(job);
         waits.forget(job);
+        slowWorkers.forget(job);
         avoidedWorkers.keySet().removeIf(task -> task.job().equals(job));
     }
 }
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/StartPlan.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/StartPlan.java
@@ -61,6 +61,7 @@
             addGang(job, occurrence, position, step, perWorker);
             return;
         }
+        RankedWorkers workers = rank(job, step, perWorker);
         for (int index = 0; index < step.tasks().size(); index++) {
             TaskRecord task = step.tasks().get(index);
             boolean replacement = isReplaceable(step.step()) && task.attempts() > 0;
@@ -69,7 +70,7 @@
             }
             TaskKey key = new TaskKey(job.id(), occurrence, position, index);
             RunKey run = new RunKey(key, task.attempts() + 1);
-            Optional<WorkerEntry> worker = place(job, step, key, perWorker);
+            Optional<WorkerEntry> worker = workers.place(state.avoided(key));
             if (worker.isPresent()) {
                 start(run, worker.get());
             } else if (!replacements) {
@@ -116,10 +117,11 @@
         }
         int attempt =
                 1 + step.tasks().stream().mapToInt(TaskRecord::attempts).max().orElse(0);
+        RankedWorkers ranked = rank(job, step, perWorker);
         List<WorkerEntry> workers = new ArrayList<>();
         for (int index = 0; index < step.tasks().size(); index++) {
             TaskKey key = new TaskKey(job.id(), occurrence, position, index);
-            Optional<WorkerEntry> worker = place(job, step, key, perWorker);
+            Optional<WorkerEntry> worker = ranked.place(state.avoided(key));
             if (worker.isEmpty()) {
                 return;
             }
@@ -131,8 +133,8 @@
         }
     }
 
-    private Optional<WorkerEntry> place(JobRecord job, StepRecord step, TaskKey key, Map<WorkerId, Integer> perWorker) {
-        return placer.place(job.terms().service(), job.id(), step.step(), perWorker, state.avoided(key));
+    private RankedWorkers rank(JobRecord job, StepRecord step, Map<WorkerId, Integer> perWorker) {
+        return placer.rank(job.terms().service(), job.id(), step.step(), perWorker);
     }
 
     private void start(RunKey run, WorkerEntry worker) {
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TaskPlacer.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TaskPlacer.java
@@ -9,7 +9,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.function.Predicate;
 import java.util.function.ToDoubleFunction;
 
@@ -21,9 +20,6 @@
      */
     private static final double MIN_UNUSED_SHARE = 0.6;
 
-    /** Exceeds any score that free capacity can give, so that an avoided worker is chosen last. */
-    private static final double AVOIDANCE_PENALTY = 1e6;
-
     /**
      * The weight of the share of a worker's serving tasks that run the same image; the share of free capacity counts
      * against the worker with weight 1. Images tolerate different best-effort tasks, so a worker that serves few
@@ -44,12 +40,14 @@
     private static final double MOSTLY_FREE_SHARE = 0.45;
 
     private final WorkerHealth<JobId> health;
+    private final SlowWorkerDetector slowWorkers;
     private final InterferenceControl interference;
     private final long now;
     private final Map<ServiceName, List<WorkerCapacity>> candidates = new HashMap<>();
 
-    TaskPlacer(WorkerHealth<JobId> health, InterferenceControl interference, long now) {
+    TaskPlacer(WorkerHealth<JobId> health, SlowWorkerDetector slowWorkers, InterferenceControl interference, long now) {
         this.health = health;
+        this.slowWorkers = slowWorkers;
         this.interference = interference;
         this.now = now;
     }
@@ -61,28 +59,24 @@
     }
 
     /**
-     * Chooses the worker for another task of a step, and deducts the task from the worker's capacity.
+     * Ranks the workers for the tasks of a step, which are assigned before those of the next step.
      *
-     * @param service the service whose workers run the task
+     * @param service the service whose workers run the tasks
      * @param job the job
      * @param step the step
-     * @param perWorker the number of tasks of the step on each worker; updated if a worker is chosen
-     * @param avoid the workers to choose last, such as those on which the task failed
-     * @return the worker, empty if no worker is suitable; {@link #waitReason} tells why
+     * @param perWorker the number of tasks of the step on each worker; updated with each chosen worker
+     * @return the ranked workers, never null
      */
-    Optional<WorkerEntry> place(
-            ServiceName service, JobId job, JobStep step, Map<WorkerId, Integer> perWorker, Set<WorkerId> avoid) {
-        Optional<WorkerCapacity> best = best(
-                service,
+    RankedWorkers rank(ServiceName service, JobId job, JobStep step, Map<WorkerId, Integer> perWorker) {
+        return new RankedWorkers(
+                candidates.getOrDefault(service, List.of()),
                 candidate -> obstacle(candidate, job, step, perWorker).isEmpty(),
-                candidate -> score(candidate, step)
-                        - (avoid.contains(candidate.entry().id()) ? AVOIDANCE_PENALTY : 0));
-        best.ifPresent(candidate -> allocate(candidate, step, perWorker));
-        return best.map(WorkerCapacity::entry);
+                candidate -> score(candidate, step),
+                candidate -> allocate(candidate, step, perWorker));
     }
 
     /**
-     * Returns why {@link #place} found no worker.
+     * Returns why no worker was found for a task.
      *
      * @return the reason of the worker that comes closest to being suitable
      */
@@ -120,8 +114,8 @@
 
     /**
      * Chooses the worker for a best-effort task of a job that has no running task although much of the service's
-     * capacity is free: the worker whose serving tasks keep the most headroom, even if it is less than {@link #place}
-     * requires.
+     * capacity is free: the worker whose serving tasks keep the most headroom, even if it is less than other tasks
+     * require.
      *
      * @param service the service whose workers run the task
      * @param job the job
@@ -182,10 +176,13 @@
         if (!health.accepts(candidate.entry().id(), job, now)) {
             return Optional.of(WaitReason.WORKERS_RESTRICTED);
         }
+        if (!step.lasting() && !slowWorkers.accepts(candidate.entry().id(), candidate.finiteTasks(), now)) {
+            return Optional.of(WaitReason.WORKERS_SLOW);
+        }
         if (!candidate.fits(step) || (step.bestEffort() && !hasUnusedCapacity(candidate, step))) {
             return Optional.of(WaitReason.NO_CAPACITY);
         }
-        if (step.bestEffort() && !interference.admits(candidate.residents(), step, now)) {
+        if (step.bestEffort() && !interference.admits(candidate.residents(), candidate.arriving(), step, now)) {
             return Optional.of(WaitReason.SERVING_TASKS_NEAR_TARGET);
         }
         return Optional.empty();
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TransitionPlanner.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TransitionPlanner.java
@@ -21,6 +21,9 @@
     /** Workers whose last report is older get no new tasks; workers report several times a second. */
     private static final long MAX_REPORT_AGE_NANOS = TimeUnit.MILLISECONDS.toNanos(1500);
 
+    /** The gauges of a report cover about this time, so they do not show the effect of newer runs. */
+    private static final long GAUGE_WINDOW_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
     private final SchedulerState state;
     private final Map<JobId, Long> endedNanos = new HashMap<>();
     private long takenOverNanos;
@@ -118,6 +121,7 @@
         for (WorkerEntry entry : List.copyOf(state.workers().entries())) {
             if (entry.lost(now) && state.table().runsOn(entry.incarnation()).isEmpty()) {
                 state.workers().remove(entry);
+                state.slowWorkers().forget(entry.id());
             }
         }
         for (WorkerEntry entry : List.copyOf(state.workers().earlierIncarnations())) {
@@ -162,11 +166,11 @@
 
     /** Returns a placer with the capacity of all workers, including that of the runs that are ending. */
     private TaskPlacer placer(long now, Set<RunKey> ending) {
-        TaskPlacer placer = new TaskPlacer(state.health(), state.interference(), now);
+        TaskPlacer placer = new TaskPlacer(state.health(), state.slowWorkers(), state.interference(), now);
         for (WorkerEntry entry : state.workers().entries()) {
             state.health().review(entry.id(), now);
             if (acceptsTasks(entry, now)) {
-                placer.add(capacityOf(entry, ending));
+                placer.add(capacityOf(entry, ending, now));
             }
         }
         return placer;
@@ -179,11 +183,12 @@
                 && !entry.silentFor(now, MAX_REPORT_AGE_NANOS);
     }
 
-    private WorkerCapacity capacityOf(WorkerEntry entry, Set<RunKey> ending) {
+    private WorkerCapacity capacityOf(WorkerEntry entry, Set<RunKey> ending, long now) {
         WorkerCapacity capacity = new WorkerCapacity(entry, state.residents(entry));
         for (RunKey run : state.table().runsOn(entry.incarnation())) {
             if (!ending.contains(run)) {
-                state.step(run.task()).ifPresent(capacity::allocate);
+                boolean settled = entry.hasListed(run, now - GAUGE_WINDOW_NANOS);
+                state.step(run.task()).ifPresent(settled ? capacity::allocateSettled : capacity::allocate);
             }
         }
         return capacity;
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/WaitReason.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/WaitReason.java
@@ -12,6 +12,8 @@
     NO_SUITABLE_WORKER,
     /** All suitable workers are quarantined or unproven. */
     WORKERS_RESTRICTED,
+    /** All healthy workers are slow. */
+    WORKERS_SLOW,
     /** No healthy worker has the memory, the accelerators and the processor time free. */
     NO_CAPACITY,
     /** No worker with capacity has serving tasks that tolerate another best-effort task. */
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/WorkerCapacity.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/WorkerCapacity.java
@@ -1,6 +1,7 @@
 package dev.waxwinghead.scheduling.job;
 
 import dev.waxwinghead.model.resource.Resources;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -13,12 +14,14 @@
     private final WorkerEntry entry;
     private final List<InterferenceControl.ResidentTask> residents;
     private final Map<String, Integer> servingTasksByImage = new HashMap<>();
+    private final List<JobStep> arriving = new ArrayList<>();
     private long freeMillicores;
     private long freeMemoryBytes;
     private long freeAccelerators;
     private double unusedMillicores;
     private long finiteMillicores;
     private int servingTasks;
+    private int finiteTasks;
 
     WorkerCapacity(WorkerEntry entry, List<InterferenceControl.ResidentTask> residents) {
         this.entry = entry;
@@ -38,11 +41,20 @@
         return residents;
     }
 
+    /** Returns the best-effort tasks that were assigned to the worker and whose effect its gauges do not show yet. */
+    List<JobStep> arriving() {
+        return arriving;
+    }
+
     /** Returns the share of the worker's serving tasks that run an image. */
     double shareOfImage(String image) {
         return servingTasks == 0 ? 0 : (double) servingTasksByImage.getOrDefault(image, 0) / servingTasks;
     }
 
+    int finiteTasks() {
+        return finiteTasks;
+    }
+
     long freeMillicores() {
         return freeMillicores;
     }
@@ -51,10 +63,20 @@
         return unusedMillicores;
     }
 
+    /** Deducts a task that is assigned in this round, or that the worker has not listed for long. */
     void allocate(JobStep step) {
+        allocateSettled(step);
+        if (step.bestEffort()) {
+            arriving.add(step);
+        }
+    }
+
+    /** Deducts a task whose effect the worker's gauges show. */
+    void allocateSettled(JobStep step) {
         Resources need = step.need();
         freeMemoryBytes -= need.memoryBytes();
         freeAccelerators -= need.accelerators();
+        finiteTasks += step.lasting() ? 0 : 1;
         if (step.bestEffort()) {
             unusedMillicores -= need.millicores();
             return;
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/WorkerEntry.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/WorkerEntry.java
@@ -69,6 +69,12 @@
         return observations;
     }
 
+    /** Returns whether the worker has listed a run since before a time. */
+    boolean hasListed(RunKey run, long beforeNanos) {
+        RunObservation observation = observations.get(run);
+        return observation != null && observation.firstListedNanos() - beforeNanos < 0;
+    }
+
     /** Returns the reported ends that are not yet applied to the table. */
     Map<RunKey, WorkerReport.EndedRun> ends() {
         return ends;
--- a/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/interference/PairwiseInterferenceTests.java
+++ b/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/interference/PairwiseInterferenceTests.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
@@ -37,6 +38,29 @@
         assertThat(model.baseline("job")).isWithin(0.1).of(-0.2);
     }
 
+    @Test
+    void keepsReliableEstimatesWhenAnotherModelAdoptsThem() {
+        for (int i = 0; i < 80; i++) {
+            now += TimeUnit.MILLISECONDS.toNanos(250);
+            model.learn("job", "serving", Map.of(), -0.8, now);
+            model.learn("job", "serving", Map.of("harmful", UNITS), 0.4, now);
+        }
+        PairwiseInterference successor = PairwiseInterference.create();
+        long otherClock = 7;
+        successor.adopt(model.reliableEstimates(now), otherClock);
+        assertThat(successor.isReliable("serving", "harmful", otherClock)).isTrue();
+        assertThat(successor.latencyIncrease("serving", "harmful", otherClock))
+                .isWithin(0.001)
+                .of(model.latencyIncrease("serving", "harmful", now));
+    }
+
+    @Test
+    void keepsItsOwnEstimatesWhereTheyAreMoreReliable() {
+        model.adopt(List.of(new PairEstimate("serving", "other", 0.2, 0.0005)), now);
+        model.adopt(List.of(new PairEstimate("serving", "other", 0.9, 0.001)), now);
+        assertThat(model.latencyIncrease("serving", "other", now)).isEqualTo(0.2);
+    }
+
     @Test
     void discountsEstimatesWithoutRecentMeasurements() {
         for (int i = 0; i < 40; i++) {
--- a/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/FleetSimulation.java
+++ b/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/FleetSimulation.java
@@ -108,7 +108,8 @@
         return Optional.ofNullable(ends.get(id)).map(end -> end - submissions.get(id));
     }
 
-    private void at(long delayMillis, Runnable action) {
+    /** Runs an action after a delay. */
+    void at(long delayMillis, Runnable action) {
         events.add(new Event(nowMillis + delayMillis, eventNumber++, action));
     }
 
@@ -234,30 +235,33 @@
             ended.removeIf(end -> end.number() <= instructions.acknowledged());
             instructions.stops().forEach(run -> end(run, WorkerReport.ReportedEnd.STOPPED));
             for (WorkerInstructions.Start start : instructions.starts()) {
-                start(start.run());
+                start(start.run(), start.checkpoint());
             }
             reportIn(endedMeanwhile ? END_REPORT_MILLIS : instructions.nextReportMillis());
             endedMeanwhile = false;
         }
 
-        private void start(RunKey run) {
+        private void start(RunKey run, String checkpoint) {
             if (running.containsKey(run)) {
                 return;
             }
             JobStep step =
                     table.find(run.task().job()).orElseThrow().step(run.task()).step();
-            running.put(run, new Progress(step, nowMillis, speed));
+            Progress progress =
+                    new Progress(step, nowMillis, speed, checkpoint.isEmpty() ? 0 : Double.parseDouble(checkpoint));
+            running.put(run, progress);
             firstStarts.putIfAbsent(run.task().job(), nowMillis);
             if (!step.lasting()) {
-                at(Math.round(step.estimateMillis() / speed), () -> end(run, WorkerReport.ReportedEnd.COMPLETED));
+                at(progress.remainingMillis(), () -> end(run, WorkerReport.ReportedEnd.COMPLETED));
             }
         }
 
         private void end(RunKey run, WorkerReport.ReportedEnd how) {
-            if (running.remove(run) == null) {
+            Progress progress = running.remove(run);
+            if (progress == null) {
                 return;
             }
-            ended.add(new WorkerReport.EndedRun(++lastEnd, run, how, ""));
+            ended.add(new WorkerReport.EndedRun(++lastEnd, run, how, progress.checkpoint()));
             if (outstanding) {
                 endedMeanwhile = true;
             } else {
@@ -270,16 +274,29 @@
         private final JobStep step;
         private final long startedMillis;
         private final double speed;
+        private final double savedShare;
 
-        Progress(JobStep step, long startedMillis, double speed) {
+        Progress(JobStep step, long startedMillis, double speed, double savedShare) {
             this.step = step;
             this.startedMillis = startedMillis;
             this.speed = speed;
+            this.savedShare = savedShare;
+        }
+
+        long remainingMillis() {
+            return Math.round(step.estimateMillis() * (1 - savedShare) / speed);
+        }
+
+        String checkpoint() {
+            return step.checkpoints() ? Double.toString(doneShare()) : "";
+        }
+
+        private double doneShare() {
+            return Math.min(1, savedShare + speed * (nowMillis - startedMillis) / Math.max(1, step.estimateMillis()));
         }
 
         WorkerReport.RunningTask row(RunKey run) {
-            double share = speed * (nowMillis - startedMillis) / Math.max(1, step.estimateMillis());
-            int percent = step.lasting() ? 100 : (int) Math.min(99, 100 * share);
+            int percent = step.lasting() ? 100 : (int) Math.min(99, 100 * doneShare());
             long gauge = step.serves() ? step.targetMillis() / 2 : step.need().millicores();
             return new WorkerReport.RunningTask(run, "", percent, gauge);
         }
--- a/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/FleetTests.java
+++ b/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/FleetTests.java
@@ -3,10 +3,14 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import dev.waxwinghead.model.id.JobClassName;
+import dev.waxwinghead.model.id.JobId;
 import dev.waxwinghead.model.id.ServiceName;
+import dev.waxwinghead.model.id.WorkerId;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -41,7 +45,7 @@
 
     @Nested
     class ShortTasksOnHundredsOfWorkers {
-        private final FleetSimulation fleet = new FleetSimulation(245, 32_000, SilentListener.INSTANCE);
+        private final FleetSimulation fleet = new FleetSimulation(245, 32_000, new SilentListener());
 
         @Test
         void startAsPromptlyAsOnAFewDozenWorkers() {
@@ -73,4 +77,67 @@
             fleet.run(Duration.ofSeconds(30));
         }
     }
+
+    @Nested
+    class SlowWorkers {
+        private final List<String> changes = new ArrayList<>();
+        private final FleetSimulation fleet = new FleetSimulation(48, 32_000, new SilentListener() {
+            @Override
+            public void workerSpeed(WorkerId worker, boolean slow, double factor) {
+                changes.add(worker + (slow ? " slow" : " sound"));
+            }
+        });
+
+        @Test
+        void keepFewJobsFromTheirObjective() {
+            for (int worker = 0; worker < 7; worker++) {
+                fleet.setSpeed(worker, 1 / 7.0);
+            }
+            play();
+            long inTime = IntStream.range(0, 180)
+                    .mapToObj(job -> fleet.duration("j" + job))
+                    .filter(duration -> duration.orElse(Long.MAX_VALUE) <= URGENT.objectiveMillis(submission()))
+                    .count();
+            assertThat(inTime).isAtLeast(162);
+        }
+
+        @Test
+        void areFoundAmongSoundOnes() {
+            fleet.setSpeed(3, 1 / 7.0);
+            play();
+            assertThat(changes).contains("w3 slow");
+            assertThat(changes.stream().filter(change -> !change.startsWith("w3 ")))
+                    .isEmpty();
+        }
+
+        @Test
+        void returnOnceTheyAreSound() {
+            fleet.setSpeed(3, 1 / 7.0);
+            fleet.at(15_000, () -> fleet.setSpeed(3, 1));
+            play();
+            assertThat(changes).containsAtLeast("w3 slow", "w3 sound").inOrder();
+            assertThat(changes).hasSize(2);
+        }
+
+        /** Submits 6 jobs a second for 30 seconds, each with two steps of eight tasks of 2.2 s. */
+        private void play() {
+            Random random = new Random(7);
+            for (int job = 0; job < 180; job++) {
+                fleet.submit(1000 + random.nextInt(30_000), URGENT, "j" + job, first(), second());
+            }
+            fleet.run(Duration.ofSeconds(60));
+        }
+
+        private JobSubmission submission() {
+            return new JobSubmission(JobId.of("j"), "p", List.of(first(), second()), JobSchedule.ONCE);
+        }
+
+        private JobStep first() {
+            return step(8, 2200, 3500, false);
+        }
+
+        private JobStep second() {
+            return step(8, 2200, 3500, false, 0);
+        }
+    }
 }
--- a/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobSchedulerTests.java
+++ b/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobSchedulerTests.java
@@ -4,6 +4,8 @@
 
 import dev.waxwinghead.model.id.HostId;
 import dev.waxwinghead.model.id.JobId;
+import dev.waxwinghead.model.id.WorkerId;
+import dev.waxwinghead.scheduling.interference.PairEstimate;
 import dev.waxwinghead.scheduling.job.WorkerReport.EndedRun;
 import dev.waxwinghead.scheduling.job.WorkerReport.ReportedEnd;
 import dev.waxwinghead.scheduling.job.WorkerReport.RunningTask;
@@ -262,6 +264,17 @@
             assertThat(table.runsOn(W1)).doesNotContain(JobFixtures.run("b1", 0, 0, 1));
         }
 
+        @Test
+        void startsNoMoreDisturbingTasksAtOnceThanTheServingTaskToleratesTogether() {
+            scheduler.adoptInterference(List.of(new PairEstimate("serving", "batch", 0.1, 0.0005)), now);
+            reportTailLatency(50);
+            accept("b1", JobFixtures.step(3, List.of(), false, true, 0));
+            commit(plan());
+            commit(plan());
+            assertThat(table.runsOn(W1))
+                    .containsExactly(JobFixtures.run("s1", 0, 0, 1), JobFixtures.run("b1", 0, 0, 1));
+        }
+
         /** Reports a tail latency of a serving task with a target of 100 ms, ten times at intervals of 300 ms. */
         private void reportTailLatency(long tailMillis) {
             accept("s1", JobFixtures.step(1, List.of(), true, false, 100));
@@ -397,6 +410,9 @@
         @Override
         public void waiting(JobRecord job, int step, WaitReason reason) {}
 
+        @Override
+        public void workerSpeed(WorkerId worker, boolean slow, double factor) {}
+
         @Override
         public void interferenceLearned(String pairs) {}
 
--- a/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/SilentListener.java
+++ b/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/SilentListener.java
@@ -1,9 +1,9 @@
 package dev.waxwinghead.scheduling.job;
 
-/** Ignores all decisions of a scheduler. */
-enum SilentListener implements SchedulerListener {
-    INSTANCE;
+import dev.waxwinghead.model.id.WorkerId;
 
+/** Ignores all decisions of a scheduler. */
+class SilentListener implements SchedulerListener {
     @Override
     public void workerSeen(WorkerReport report) {}
 
@@ -25,6 +25,9 @@
     @Override
     public void waiting(JobRecord job, int step, WaitReason reason) {}
 
+    @Override
+    public void workerSpeed(WorkerId worker, boolean slow, double factor) {}
+
     @Override
     public void interferenceLearned(String pairs) {}
 
