--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/HeldAnswers.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/HeldAnswers.java
@@ -19,11 +19,6 @@
         return Optional.ofNullable(held.put(receipt.incarnation().worker(), new Held(receipt, answer)));
     }
 
-    /** Returns the held report of a worker. */
-    Optional<Held> find(WorkerId worker) {
-        return Optional.ofNullable(held.get(worker));
-    }
-
     /** Removes the report of a worker. */
     Optional<Held> remove(WorkerId worker) {
         return Optional.ofNullable(held.remove(worker));
