--- a/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/callers/StubUpstream.java
+++ b/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/callers/StubUpstream.java
@@ -75,6 +75,11 @@
         return new StubUpstream(host, id, host.dataCentre().value(), port, newTimer(), exchange -> {});
     }
 
+    /** Announces a different listener at the intervals of a clock that the test moves. */
+    static StubUpstream startAt(TestHost host, String id, int port, ManualClock clock) throws IOException {
+        return new StubUpstream(host, id, host.dataCentre().value(), port, clock.timer(), exchange -> {});
+    }
+
     /** Starts an upstream that serves requests without announcing itself. */
     static StubUpstream unannounced(HttpHandler handler) throws IOException {
         return new StubUpstream(null, "", "", 0, newTimer(), handler);
