--- a/waxwinghead-coordination/src/test/java/dev/waxwinghead/coordination/replica/ReplicaNodeTests.java
+++ b/waxwinghead-coordination/src/test/java/dev/waxwinghead/coordination/replica/ReplicaNodeTests.java
@@ -279,6 +279,19 @@
             }
         }
 
+        @Test
+        void handlerOfAFailureCanCloseTheReplica() throws Exception {
+            TestCluster cluster = TestCluster.start(1, 0, 1000);
+            Host host = cluster.leader();
+            CompletableFuture<Void> closed =
+                    host.node().failure().thenAccept(cause -> host.node().close());
+            host.faultyStorage().failSyncs();
+            CompletableFuture<byte[]> lost = host.propose("lost");
+            closed.get(TestCluster.TIMEOUT.toSeconds(), TimeUnit.SECONDS);
+            assertThat(failureKind(lost)).isEqualTo(ErrorKind.UNKNOWN_OUTCOME);
+            cluster.close();
+        }
+
         @Test
         void stateMachineFailureStopsTheReplica() {
             try (TestCluster cluster = TestCluster.start(1, 0, 1000)) {
