Report the failure of a replica on a thread that nothing waits for

Three of four core hosts had a full disk, one after another. Each stopped its replica and wanted to end its process, so that it would start anew; none ended, and without a majority no cancellation was committed.

Cause: the failure was completed on the replica's own thread (or the applier's), so its handler ran there. The handler called System.exit, which waits for the shutdown hook; the hook closes the replica, which waits for its thread. Evidence: the stacks of such a process, and the lines 'shutdown-waits'. Ruled out: closing waits for the disk (no thread is in a file operation); a restart that fails (the process stays up, its memory does not change).

The failure now completes on a thread of its own, so a handler may close the replica or end the process. ReplicaNodeTests.Failures handlerOfAFailureCanCloseTheReplica failed before with a timeout of 20 s and passes. FullDiskTests passes its first check, that the process ends, and fails at the next one: the exit status is 0 in place of 9.

--- a/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/replica/ReplicaLoop.java
+++ b/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/replica/ReplicaLoop.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.Executor;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.random.RandomGenerator;
 import org.jboss.logging.Logger;
 
@@ -40,6 +41,7 @@
     private final Ticker ticker;
     private final ReplicaCounters counters;
     private final BlockingQueue<Runnable> events = new LinkedBlockingQueue<>();
+    private final AtomicReference<WaxwingheadException> cause = new AtomicReference<>();
     private final CompletableFuture<WaxwingheadException> failure = new CompletableFuture<>();
     private final ReplicaCore core;
     private final Applier applier;
@@ -97,10 +99,18 @@
         return applier.appliedIndex();
     }
 
+    /**
+     * Returns a future of the cause if the replica fails. It completes on a thread of its own, so that an action that
+     * depends on it may wait for the replica to stop.
+     */
     CompletableFuture<WaxwingheadException> failure() {
         return failure;
     }
 
+    boolean hasFailed() {
+        return cause.get() != null;
+    }
+
     /** Queues an event to run on the thread of the loop. */
     @Override
     public void execute(Runnable event) {
@@ -244,10 +254,11 @@
         }
     }
 
-    private void fail(WaxwingheadException cause) {
+    private void fail(WaxwingheadException reason) {
         running = false;
-        if (failure.complete(cause)) {
-            LOG.errorf(cause, "replica on %s stops", settings.host());
+        if (cause.compareAndSet(null, reason)) {
+            LOG.errorf(reason, "replica on %s stops", settings.host());
+            new Thread(() -> failure.complete(reason), "waxwinghead-failure-" + settings.host()).start();
         }
     }
 
@@ -257,8 +268,8 @@
     }
 
     private String stopReason() {
-        WaxwingheadException cause = failure.getNow(null);
-        return cause == null ? "this replica is closed" : "this replica has stopped: " + cause.getMessage();
+        WaxwingheadException reason = cause.get();
+        return reason == null ? "this replica is closed" : "this replica has stopped: " + reason.getMessage();
     }
 
     private void joinThread() {
--- a/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/replica/ReplicaNode.java
+++ b/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/replica/ReplicaNode.java
@@ -102,7 +102,7 @@
         boolean inReach = view.lastContact().isPresent()
                 && view.leader().isPresent()
                 && now - lastContact < timeout
-                && !loop.failure().isDone();
+                && !loop.hasFailed();
         long silentMillis = TimeUnit.NANOSECONDS.toMillis(now - lastContact);
         return new LogStatus(
                 replicaId,
@@ -128,7 +128,8 @@
     /**
      * Returns a future that completes once the replica has stopped because of a failure.
      *
-     * @return a future of the cause, never null; doesn't complete while the replica works or after a regular close
+     * @return a future of the cause, never null; doesn't complete while the replica works or after a regular close.
+     *     Dependent actions run on a thread of their own and may call {@link #close()}
      */
     public CompletableFuture<WaxwingheadException> failure() {
         return loop.failure().copy();
