--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/log/BoundedConsoleHandler.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/log/BoundedConsoleHandler.java
@@ -2,6 +2,7 @@
 
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -20,6 +21,8 @@
     static final int QUEUE_LENGTH = 8192;
 
     private static final AtomicLong DROPPED = new AtomicLong();
+    private static final AtomicLong UNWRITTEN = new AtomicLong();
+    private static final long WRITTEN_CHECK_MILLIS = 5;
     private static final long CLOSE_TIMEOUT_SECONDS = 1;
 
     private final BlockingQueue<String> lines;
@@ -50,9 +53,36 @@
         return DROPPED.get();
     }
 
+    /**
+     * Waits until all lines have been written. Call this before the process is halted, which drops the others.
+     *
+     * @param limit the longest time to wait
+     * @return false if lines were left at the limit, or the thread was interrupted
+     */
+    public static boolean awaitWritten(Duration limit) {
+        long endNanos = System.nanoTime() + limit.toNanos();
+        while (UNWRITTEN.get() > 0) {
+            if (System.nanoTime() - endNanos >= 0) {
+                return false;
+            }
+            try {
+                TimeUnit.MILLISECONDS.sleep(WRITTEN_CHECK_MILLIS);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+                return false;
+            }
+        }
+        return true;
+    }
+
     @Override
     public void publish(LogRecord record) {
-        if (isLoggable(record) && !lines.offer(getFormatter().format(record))) {
+        if (!isLoggable(record)) {
+            return;
+        }
+        UNWRITTEN.incrementAndGet();
+        if (!lines.offer(getFormatter().format(record))) {
+            UNWRITTEN.decrementAndGet();
             DROPPED.incrementAndGet();
         }
     }
@@ -76,24 +106,30 @@
     private void writeAll() {
         StringBuilder batch = new StringBuilder();
         while (!closed || !lines.isEmpty()) {
-            takeBatch(batch);
+            int count = takeBatch(batch);
             reportDrops(batch);
             byte[] bytes = batch.toString().getBytes(StandardCharsets.UTF_8);
             out.write(bytes, 0, bytes.length);
             out.flush();
             batch.setLength(0);
+            UNWRITTEN.addAndGet(-count);
         }
     }
 
-    private void takeBatch(StringBuilder batch) {
+    /** Appends the queued lines, after waiting for the first. Returns their number. */
+    private int takeBatch(StringBuilder batch) {
+        int count = 0;
         try {
             batch.append(lines.take());
+            count++;
         } catch (InterruptedException e) {
             closed = true;
         }
         for (String line = lines.poll(); line != null; line = lines.poll()) {
             batch.append(line);
+            count++;
         }
+        return count;
     }
 
     private void reportDrops(StringBuilder batch) {
--- a/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/log/BoundedConsoleHandlerTests.java
+++ b/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/log/BoundedConsoleHandlerTests.java
@@ -4,6 +4,7 @@
 
 import java.io.OutputStream;
 import java.io.PrintStream;
+import java.time.Duration;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.logging.Level;
@@ -33,7 +34,9 @@
             handler.publish(record());
         }
         assertThat(BoundedConsoleHandler.dropped() - before).isEqualTo(90);
+        assertThat(BoundedConsoleHandler.awaitWritten(Duration.ofMillis(50))).isFalse();
         reading.countDown();
+        assertThat(BoundedConsoleHandler.awaitWritten(Duration.ofSeconds(10))).isTrue();
         handler.close();
     }
 
