Name no leader in the status of a failed replica

A failed leader kept naming itself in its status, since nothing updates the view after the loop has ended.

ReplicaNode.status() now names no leader once the replica has failed. storageFailureStopsTheReplicaAndIsReported checks it; it failed before ('but was present with value: e1').

--- a/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/replica/ReplicaNode.java
+++ b/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/replica/ReplicaNode.java
@@ -95,14 +95,11 @@
 
     @Override
     public LogStatus status() {
-        ReplicaView view = loop.view();
+        ReplicaView view = loop.hasFailed() ? loop.view().withoutLeader() : loop.view();
         long now = ticker.nanos();
         long lastContact = view.lastContact().orElse(startNanos);
         long timeout = settings.consensus().electionTimeoutMin().toNanos();
-        boolean inReach = view.lastContact().isPresent()
-                && view.leader().isPresent()
-                && now - lastContact < timeout
-                && !loop.hasFailed();
+        boolean inReach = view.lastContact().isPresent() && view.leader().isPresent() && now - lastContact < timeout;
         long silentMillis = TimeUnit.NANOSECONDS.toMillis(now - lastContact);
         return new LogStatus(
                 replicaId,
--- a/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/replica/ReplicaView.java
+++ b/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/replica/ReplicaView.java
@@ -24,4 +24,9 @@
                 core.lastContact(),
                 core.membership().members());
     }
+
+    /** Returns a copy that knows no leader, for a replica that has stopped. */
+    ReplicaView withoutLeader() {
+        return new ReplicaView(role, term, Optional.empty(), commitIndex, lastContact, members);
+    }
 }
--- a/waxwinghead-coordination/src/test/java/dev/waxwinghead/coordination/replica/ReplicaNodeTests.java
+++ b/waxwinghead-coordination/src/test/java/dev/waxwinghead/coordination/replica/ReplicaNodeTests.java
@@ -275,6 +275,7 @@
                 assertThat(awaitFailure(leader)).hasMessageThat().contains("replace the disk");
                 assertThat(failureKind(leader.propose("lost"))).isEqualTo(ErrorKind.NO_MAJORITY);
                 assertThat(leader.node().status().majorityInReach()).isFalse();
+                assertThat(leader.node().status().leader()).isEmpty();
                 awaitSuccessor(cluster, leader).propose("accepted").join();
             }
         }
