Halt a process whose closing hangs

After a failure no signal follows, so a process whose closing hangs, for example in a file operation on a disk that does not answer, would stay up without working.

--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/part/ShutdownWatchdog.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/part/ShutdownWatchdog.java
@@ -1,29 +1,37 @@
 package dev.waxwinghead.daemon.part;
 
+import dev.waxwinghead.daemon.log.BoundedConsoleHandler;
 import dev.waxwinghead.daemon.log.Event;
 import java.time.Duration;
 import java.util.Arrays;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
 
-/** Logs what the threads of the process wait for if its shutdown takes too long. */
+/**
+ * Ends the process if its shutdown takes too long, for example because a disk hangs, after logging what its threads
+ * wait for. A process that neither works nor exits would not be started anew.
+ */
 public final class ShutdownWatchdog {
     private static final int MAX_FRAMES = 16;
 
+    /** How long the last log lines may take; a reader of standard output that has stopped reading takes forever. */
+    private static final Duration LOG_LIMIT = Duration.ofMillis(500);
+
     private ShutdownWatchdog() {}
 
     /**
      * Starts to watch a shutdown. Call this once the remaining steps are expected to take less than the limit.
      *
-     * @param limit the time after which the shutdown counts as overdue
+     * @param limit the time after which the process is halted
+     * @param exitStatus the exit status of the process
      */
-    public static void start(Duration limit) {
-        Thread thread = new Thread(() -> watch(limit), "shutdown-watchdog");
+    public static void start(Duration limit, int exitStatus) {
+        Thread thread = new Thread(() -> watch(limit, exitStatus), "shutdown-watchdog");
         thread.setDaemon(true);
         thread.start();
     }
 
-    private static void watch(Duration limit) {
+    private static void watch(Duration limit, int exitStatus) {
         try {
             TimeUnit.NANOSECONDS.sleep(limit.toNanos());
         } catch (InterruptedException e) {
@@ -32,6 +40,17 @@
         }
         Event.of("shutdown-overdue").with("limitMillis", limit.toMillis()).write();
         Thread.getAllStackTraces().forEach(ShutdownWatchdog::logIfAwaited);
+        halt(exitStatus);
+    }
+
+    /**
+     * Ends the process without running shutdown hooks, once its log lines are written.
+     *
+     * @param exitStatus the exit status of the process
+     */
+    public static void halt(int exitStatus) {
+        BoundedConsoleHandler.awaitWritten(LOG_LIMIT);
+        Runtime.getRuntime().halt(exitStatus);
     }
 
     /** Logs the stack of a thread for whose end the shutdown may wait; that is no daemon thread. */
