Give hosts that join the fake cluster the state of the log

The log showed dc2's scheduler in term 2 and, 63 ms later, in term 4, although a host takes over only after 2.5 s without a renewal, and the test took 20.7 s, so that the other host acted before the kill.

Cause: the test's FakeCluster. If the third host acquired the term of dc2 before the fourth was added (a delay of about 50 ms between the two, the interval of the scheduler), the fourth saw no term, acquired one that only its own table accepted, and both acted. After the kill no command of the fourth was accepted by the other hosts. If the capacity report of the fourth came first, it replaced that of the third, since its term was higher, and the replicas never started either.

The map of hosts, read by many threads while hosts are added, is a concurrent one. The test additionally checks that just one host acts before the kill; no check or limit is relaxed.

--- a/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/tasks/FakeCluster.java
+++ b/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/tasks/FakeCluster.java
@@ -36,6 +36,7 @@
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentSkipListMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -44,7 +45,7 @@
 /** Runs the task parts of several hosts over a shared in-memory log. */
 final class FakeCluster implements AutoCloseable {
     private final Closer closer = Closer.create();
-    private final Map<HostId, Host> hosts = new LinkedHashMap<>();
+    private final Map<HostId, Host> hosts = new ConcurrentSkipListMap<>();
     private final ExecutorService pool = Executors.newCachedThreadPool();
     private final ScheduledExecutorService timer = Executors.newScheduledThreadPool(2);
     private final TreeMap<ManifestKey, Configuration.Entry> entries = new TreeMap<>();
@@ -56,10 +57,15 @@
         closer.register(timer::shutdownNow);
     }
 
-    Host addHost(String name, String dataCentre, Duration workerLease) {
+    /** Adds a host that starts from a snapshot of a live host, if there is one, as a joining replica does. */
+    synchronized Host addHost(String name, String dataCentre, Duration workerLease) {
         Host host = new Host(HostId.of(name), DataCentreId.of(dataCentre), hosts.isEmpty(), workerLease);
-        hosts.put(host.id, host);
+        hosts.values().stream()
+                .filter(live -> !live.isolated)
+                .findFirst()
+                .ifPresent(live -> host.section().restore(live.section().snapshot()));
         host.start();
+        hosts.put(host.id, host);
         return host;
     }
 
--- a/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/tasks/TasksPartTests.java
+++ b/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/tasks/TasksPartTests.java
@@ -84,6 +84,7 @@
 
         FakeCluster.Host acting = acts(third) ? third : fourth;
         FakeCluster.Host other = acting == third ? fourth : third;
+        assertThat(acts(other)).isFalse();
         acting.kill();
         await("the other host acts", () -> acts(other));
 
@@ -94,6 +95,25 @@
                 .isTrue();
     }
 
+    @Test
+    void hostThatJoinsAfterTheActingHostTakesOverOnlyOnceThatHostIsKilled() {
+        FakeCluster.Host third = cluster.addHost("e3", "dc2", LONG_LEASE);
+        await("the third host acts", () -> acts(third));
+        FakeCluster.Host fourth = cluster.addHost("e4", "dc2", LONG_LEASE);
+        FakeWorker worker =
+                closer.register(new FakeWorker("w1", "dc2", third.workers.address(), fourth.workers.address()));
+        cluster.apply(SERVICE);
+        await("both replicas run", () -> worker.starts.size() == 2);
+        assertThat(acts(fourth)).isFalse();
+
+        third.kill();
+        await("the fourth host acts", () -> acts(fourth));
+
+        cluster.apply(JOB.replace("400", "50"));
+        await("the fourth host starts tasks", () -> jobState("nightly").equals("completed"));
+        assertThat(worker.starts).hasSize(6);
+    }
+
     @Test
     void movesTasksOfASilentWorkerOnceItsLeaseHasExpired() {
         FakeWorker one = worker("w1");
