Give up a task under which three workers have crashed

Cause: the runs of a crashed worker end as INTERRUPTED, which leaves no trace in the task, and nobody counts how often the task ended its worker.

A run now ends as WORKER_CRASHED if its start was sent, the worker had not listed it for two seconds, and another process with the same id or address has replaced the worker within its lease although it was not to leave. The task counts these ends in the replicated table; a run that completes or fails sets the count to zero, and the third crash fails the job. Until it is cleared, a suspect gets no worker with a suspect of another job, so that the second crash of one is not charged to another. Suspects of one job may share a worker, since they fail together.

Ruled out as proof of a crash: a lease that expires, a worker that leaves, a worker that a new scheduler has not heard of.

--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/EngineEvents.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/EngineEvents.java
@@ -5,6 +5,7 @@
 import dev.waxwinghead.scheduling.job.JobRecord;
 import dev.waxwinghead.scheduling.job.RunKey;
 import dev.waxwinghead.scheduling.job.SchedulerListener;
+import dev.waxwinghead.scheduling.job.TaskKey;
 import dev.waxwinghead.scheduling.job.WaitReason;
 import dev.waxwinghead.scheduling.job.WorkerIncarnation;
 import dev.waxwinghead.scheduling.job.WorkerReport;
@@ -23,12 +24,16 @@
     private final Counter starts;
     private final Counter stops;
     private final Counter lateReports;
+    private final Counter crashes;
+    private final Counter givenUp;
 
     EngineEvents(MeterRegistry meters) {
         this.meters = meters;
         this.starts = meters.counter("waxwinghead.job.task.starts");
         this.stops = meters.counter("waxwinghead.job.task.stops");
         this.lateReports = meters.counter("waxwinghead.job.reports.late");
+        this.crashes = meters.counter("waxwinghead.job.worker.crashes");
+        this.givenUp = meters.counter("waxwinghead.job.given.up");
     }
 
     @Override
@@ -102,6 +107,28 @@
                 .write();
     }
 
+    @Override
+    public void workerCrashed(RunKey run, WorkerIncarnation worker, int total) {
+        crashes.increment();
+        Event.of("worker-crashed")
+                .with("job", run.task().job())
+                .with("task", run.task())
+                .with("attempt", run.attempt())
+                .with("worker", worker.worker())
+                .with("crashes", total)
+                .write();
+    }
+
+    @Override
+    public void givenUp(TaskKey task, int total) {
+        givenUp.increment();
+        Event.of("job-given-up")
+                .with("job", task.job())
+                .with("task", task)
+                .with("crashes", total)
+                .write();
+    }
+
     @Override
     public void waiting(JobRecord job, int step, WaitReason reason) {
         String name = reason.name().toLowerCase(Locale.ROOT);
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/JobTable.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/JobTable.java
@@ -22,6 +22,12 @@
  * @since 0.2
  */
 public final class JobTable {
+    /**
+     * The number of workers that may crash under a task before its job fails. Crashes of workers that lost other tasks
+     * may coincide once or twice with a start of a harmless task.
+     */
+    static final int MAX_CRASHES = 3;
+
     private final Map<JobId, JobRecord> jobs = new LinkedHashMap<>();
     private final Set<JobId> active = new LinkedHashSet<>();
     private final Set<JobId> canceledBeforeArrival = new LinkedHashSet<>();
@@ -247,7 +253,7 @@
         boolean exhausted = !step.step().lasting()
                 && !task.completed()
                 && task.failures() >= job.terms().attempts();
-        if (exhausted) {
+        if (exhausted || task.crashes() >= MAX_CRASHES) {
             changeState(job, JobState.FAILED);
         } else if (step.completed() && job.allCompleted()) {
             changeState(job, JobState.DONE);
@@ -338,6 +344,17 @@
         add(record);
     }
 
+    /**
+     * Restores how many workers crashed under a task of a restored job.
+     *
+     * @param task the task
+     * @param crashes the number of workers
+     * @since 0.3
+     */
+    public void restoreCrashes(TaskKey task, int crashes) {
+        jobs.get(task.job()).task(task).restoreCrashes(crashes);
+    }
+
     /**
      * Holds a task of a table that is being restored.
      *
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/RankedWorkers.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/RankedWorkers.java
@@ -1,5 +1,6 @@
 package dev.waxwinghead.scheduling.job;
 
+import dev.waxwinghead.model.id.JobId;
 import dev.waxwinghead.model.id.WorkerId;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -46,7 +47,25 @@
      * @return the worker, empty if no worker is eligible
      */
     Optional<WorkerEntry> place(Set<WorkerId> avoid) {
+        return place(avoid, worker -> true).map(WorkerCapacity::entry);
+    }
+
+    /**
+     * Chooses the worker for another task as {@link #place(Set)} does, but none with a suspect of another job.
+     *
+     * @param job the job of the task, under which a worker has crashed
+     * @param avoid the workers to choose last
+     * @return the worker, empty if no worker is eligible
+     */
+    Optional<WorkerEntry> placeSuspect(JobId job, Set<WorkerId> avoid) {
+        Optional<WorkerCapacity> chosen = place(avoid, worker -> worker.acceptsSuspectOf(job));
+        chosen.ifPresent(worker -> worker.addSuspectOf(job));
+        return chosen.map(WorkerCapacity::entry);
+    }
+
+    private Optional<WorkerCapacity> place(Set<WorkerId> avoid, Predicate<WorkerCapacity> suits) {
         rankAll();
+        List<Ranked> unsuited = new ArrayList<>();
         List<Ranked> avoided = new ArrayList<>();
         Optional<Ranked> best = Optional.empty();
         while (best.isEmpty() && !ranking.isEmpty()) {
@@ -54,7 +73,9 @@
             if (!eligible.test(next.worker)) {
                 continue;
             }
-            if (avoid.contains(next.worker.entry().id())) {
+            if (!suits.test(next.worker)) {
+                unsuited.add(next);
+            } else if (avoid.contains(next.worker.entry().id())) {
                 avoided.add(next);
             } else {
                 best = Optional.of(next);
@@ -64,11 +85,12 @@
             best = Optional.of(avoided.remove(0));
         }
         ranking.addAll(avoided);
+        ranking.addAll(unsuited);
         best.ifPresent(chosen -> {
             allocate.accept(chosen.worker);
             ranking.add(new Ranked(chosen.worker, score.applyAsDouble(chosen.worker), chosen.position));
         });
-        return best.map(chosen -> chosen.worker.entry());
+        return best.map(Ranked::worker);
     }
 
     private void rankAll() {
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/ReportHandler.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/ReportHandler.java
@@ -101,6 +101,7 @@
 
     private void requestStops(WorkerEntry entry, long now) {
         entry.stopping().removeIf(run -> !state.table().isLive(entry.incarnation(), run));
+        entry.sent().removeIf(run -> !state.table().isLive(entry.incarnation(), run));
         for (RunKey run : state.table().runsOn(entry.incarnation())) {
             if (!entry.stopping().contains(run)) {
                 stopReason(entry, run, now).ifPresent(reason -> state.requestStop(entry, run, reason));
@@ -177,11 +178,13 @@
     }
 
     private WorkerInstructions instructions(WorkerEntry entry) {
+        List<WorkerInstructions.Start> starts = starts(entry);
+        starts.forEach(start -> entry.sent().add(start.run()));
         return new WorkerInstructions(
                 state.times().lease().toMillis(),
                 acknowledged(entry),
                 state.table().epoch(),
-                starts(entry),
+                starts,
                 stops(entry),
                 throttles(entry),
                 timing(entry).nextReportMillis());
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/RunEnd.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/RunEnd.java
@@ -11,7 +11,13 @@
     /** The run failed; the failure counts against the task's attempts. */
     FAILED(2),
     /** The run was stopped or refused, or its worker was lost; the task may start again. */
-    INTERRUPTED(3);
+    INTERRUPTED(3),
+    /**
+     * The worker's process crashed soon after the start of the run; the crash is counted against the task.
+     *
+     * @since 0.3
+     */
+    WORKER_CRASHED(4);
 
     private final int code;
 
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/SchedulerListener.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/SchedulerListener.java
@@ -56,6 +56,25 @@
      */
     void ended(WorkerReport.EndedRun end, WorkerIncarnation worker);
 
+    /**
+     * Called when the crash of a worker is about to be counted against the task of a run.
+     *
+     * @param run the run
+     * @param worker the worker that crashed
+     * @param crashes the number of workers that crashed under the task, including this one
+     * @since 0.3
+     */
+    void workerCrashed(RunKey run, WorkerIncarnation worker, int crashes);
+
+    /**
+     * Called when a job is about to fail, since workers crashed under one of its tasks.
+     *
+     * @param task the task
+     * @param crashes the number of workers that crashed under the task
+     * @since 0.3
+     */
+    void givenUp(TaskKey task, int crashes);
+
     /**
      * Called when a job waits for another reason than before, at most once a second for each job.
      *
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/SchedulerState.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/SchedulerState.java
@@ -80,6 +80,13 @@
                 .map(job -> job.step(task).step());
     }
 
+    /** Returns whether a worker has crashed under a task, see {@link TaskRecord#suspect}. */
+    boolean suspect(TaskKey task) {
+        return table.find(task.job())
+                .filter(job -> job.contains(task) && job.task(task).suspect())
+                .isPresent();
+    }
+
     /** Returns the tasks listed by a worker's latest report, except those of unknown jobs. */
     List<InterferenceControl.ResidentTask> residents(WorkerEntry entry) {
         List<InterferenceControl.ResidentTask> residents =
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/StartPlan.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/StartPlan.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 /** Plans the starts of one scheduling round, job by job. */
 final class StartPlan {
@@ -70,21 +71,30 @@
             }
             TaskKey key = new TaskKey(job.id(), occurrence, position, index);
             RunKey run = new RunKey(key, task.attempts() + 1);
-            Optional<WorkerEntry> worker = workers.place(state.avoided(key));
+            Optional<WorkerEntry> worker = place(workers, key, task);
             if (worker.isPresent()) {
                 start(run, worker.get());
             } else if (!replacements) {
                 startStarved(job, step, run, perWorker);
-                recordWait(job, position, step, perWorker);
-                return;
+                recordWait(job, position, step, perWorker, task.suspect());
+                if (!task.suspect()) {
+                    return;
+                }
             } else if (!reserveCapacity(job, step, perWorker)) {
                 return;
             }
         }
     }
 
-    private void recordWait(JobRecord job, int position, StepRecord step, Map<WorkerId, Integer> perWorker) {
-        WaitReason reason = placer.waitReason(job.terms().service(), job.id(), step.step(), perWorker);
+    /** Places a task; a suspect is kept away from those of other jobs, so that they do not share a crash. */
+    private Optional<WorkerEntry> place(RankedWorkers workers, TaskKey key, TaskRecord task) {
+        Set<WorkerId> avoided = state.avoided(key);
+        return task.suspect() ? workers.placeSuspect(key.job(), avoided) : workers.place(avoided);
+    }
+
+    private void recordWait(
+            JobRecord job, int position, StepRecord step, Map<WorkerId, Integer> perWorker, boolean suspect) {
+        WaitReason reason = placer.waitReason(job.terms().service(), job.id(), step.step(), perWorker, suspect);
         state.waits().waiting(job, position, reason, now);
     }
 
@@ -95,7 +105,8 @@
     /** Starts a single best-effort task of a job without live runs, although the serving tasks have no headroom. */
     private void startStarved(JobRecord job, StepRecord step, RunKey run, Map<WorkerId, Integer> perWorker) {
         if (step.step().bestEffort() && job.liveRuns() == 0 && !started(job)) {
-            placer.placeStarved(job.terms().service(), job.id(), step.step(), perWorker)
+            boolean suspect = job.task(run.task()).suspect();
+            placer.placeStarved(job.terms().service(), job.id(), step.step(), perWorker, suspect)
                     .ifPresent(entry -> start(run, entry));
         }
     }
@@ -121,7 +132,7 @@
         List<WorkerEntry> workers = new ArrayList<>();
         for (int index = 0; index < step.tasks().size(); index++) {
             TaskKey key = new TaskKey(job.id(), occurrence, position, index);
-            Optional<WorkerEntry> worker = ranked.place(state.avoided(key));
+            Optional<WorkerEntry> worker = place(ranked, key, step.tasks().get(index));
             if (worker.isEmpty()) {
                 return;
             }
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TaskPlacer.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TaskPlacer.java
@@ -78,12 +78,15 @@
     /**
      * Returns why no worker was found for a task.
      *
+     * @param suspect whether a worker crashed under the task
      * @return the reason of the worker that comes closest to being suitable
      */
-    WaitReason waitReason(ServiceName service, JobId job, JobStep step, Map<WorkerId, Integer> perWorker) {
+    WaitReason waitReason(
+            ServiceName service, JobId job, JobStep step, Map<WorkerId, Integer> perWorker, boolean suspect) {
         WaitReason closest = WaitReason.NO_WORKER;
         for (WorkerCapacity candidate : candidates.getOrDefault(service, List.of())) {
-            WaitReason obstacle = obstacle(candidate, job, step, perWorker).orElse(closest);
+            WaitReason obstacle = obstacle(candidate, job, step, perWorker)
+                    .orElse(suspect ? WaitReason.WORKERS_RUN_SUSPECTS : closest);
             closest = obstacle.compareTo(closest) > 0 ? obstacle : closest;
         }
         return closest;
@@ -121,10 +124,12 @@
      * @param job the job
      * @param step the step
      * @param perWorker the number of tasks of the step on each worker; updated if a worker is chosen
+     * @param suspect whether a worker crashed under the task
      * @return the worker; empty if the service has little free capacity, or no suitable worker whose serving tasks are
      *     all within the admission bound of {@link InterferenceControl}
      */
-    Optional<WorkerEntry> placeStarved(ServiceName service, JobId job, JobStep step, Map<WorkerId, Integer> perWorker) {
+    Optional<WorkerEntry> placeStarved(
+            ServiceName service, JobId job, JobStep step, Map<WorkerId, Integer> perWorker, boolean suspect) {
         if (!mostlyFree(service)) {
             return Optional.empty();
         }
@@ -132,9 +137,15 @@
                 service,
                 candidate -> candidate.fits(step)
                         && hasUnusedCapacity(candidate, step)
+                        && (!suspect || candidate.acceptsSuspectOf(job))
                         && meetsConstraints(candidate, job, step, perWorker),
                 candidate -> interference.headroom(candidate.residents(), step, now));
-        best.ifPresent(candidate -> allocate(candidate, step, perWorker));
+        best.ifPresent(candidate -> {
+            allocate(candidate, step, perWorker);
+            if (suspect) {
+                candidate.addSuspectOf(job);
+            }
+        });
         return best.map(WorkerCapacity::entry);
     }
 
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TaskRecord.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TaskRecord.java
@@ -9,6 +9,7 @@
     private final List<LiveRun> liveRuns = new ArrayList<>(1);
     private int attempts;
     private int failures;
+    private int crashes;
     private boolean completed;
     private String checkpoint = "";
 
@@ -41,6 +42,26 @@
         return failures;
     }
 
+    /**
+     * Returns the number of workers that crashed under the task since a run last completed or failed.
+     *
+     * @return the number of workers, 0 or more
+     * @since 0.3
+     */
+    public int crashes() {
+        return crashes;
+    }
+
+    /**
+     * Returns whether the task may be one that crashes its workers.
+     *
+     * @return true if a worker has crashed under the task since a run last completed or failed
+     * @since 0.3
+     */
+    public boolean suspect() {
+        return crashes > 0;
+    }
+
     /**
      * Returns whether a run has completed.
      *
@@ -72,8 +93,12 @@
         liveRuns.remove(run);
         if (end == RunEnd.COMPLETED) {
             completed = true;
+            crashes = 0;
         } else if (end == RunEnd.FAILED) {
             failures++;
+            crashes = 0;
+        } else if (end == RunEnd.WORKER_CRASHED) {
+            crashes++;
         }
         if (!saved.isEmpty()) {
             checkpoint = saved;
@@ -87,6 +112,10 @@
         checkpoint = saved;
     }
 
+    void restoreCrashes(int crashesSoFar) {
+        crashes = crashesSoFar;
+    }
+
     /**
      * Describes a run that may be running.
      *
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TransitionPlanner.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TransitionPlanner.java
@@ -85,7 +85,7 @@
         for (WorkerIncarnation incarnation : List.copyOf(state.table().busyWorkers())) {
             Optional<WorkerEntry> entry = state.workers().find(incarnation);
             if (lost(incarnation, entry, now)) {
-                state.events().workerGone(incarnation, entry.isPresent() ? "lease-ended" : "not-heard-of");
+                state.events().workerGone(incarnation, lossReason(incarnation, entry));
                 planInterruptions(plan, incarnation, entry);
             }
         }
@@ -100,17 +100,41 @@
                 || now - takenOverNanos >= state.times().inheritedLeaseBoundNanos();
     }
 
+    private String lossReason(WorkerIncarnation incarnation, Optional<WorkerEntry> entry) {
+        boolean restarted =
+                entry.map(WorkerEntry::crashed).orElseGet(() -> state.workers().superseded(incarnation));
+        if (restarted) {
+            return "restarted";
+        }
+        return entry.isPresent() ? "lease-ended" : "not-heard-of";
+    }
+
     private void planInterruptions(
             List<JobTransition> plan, WorkerIncarnation incarnation, Optional<WorkerEntry> entry) {
         for (RunKey run : state.table().runsOn(incarnation)) {
             boolean ending = entry.isPresent() && entry.get().ends().containsKey(run);
             if (!ending && plan.size() < MAX_TRANSITIONS) {
-                plan.add(new JobTransition.Ended(run, RunEnd.INTERRUPTED, lastCheckpoint(entry, run)));
+                boolean crashed =
+                        entry.filter(known -> known.mayHaveCrashedUnder(run)).isPresent();
+                RunEnd end = crashed ? RunEnd.WORKER_CRASHED : RunEnd.INTERRUPTED;
+                plan.add(new JobTransition.Ended(run, end, lastCheckpoint(entry, run)));
+                if (crashed) {
+                    recordCrash(run, incarnation);
+                }
                 state.health().endedInconclusively(incarnation.worker());
             }
         }
     }
 
+    private void recordCrash(RunKey run, WorkerIncarnation incarnation) {
+        JobRecord job = state.table().find(run.task().job()).orElseThrow();
+        int crashes = job.task(run.task()).crashes() + 1;
+        state.events().workerCrashed(run, incarnation, crashes);
+        if (crashes >= JobTable.MAX_CRASHES && !job.state().ended()) {
+            state.events().givenUp(run.task(), crashes);
+        }
+    }
+
     private static String lastCheckpoint(Optional<WorkerEntry> entry, RunKey run) {
         return entry.map(known -> known.observations().get(run))
                 .map(RunObservation::checkpoint)
@@ -189,6 +213,9 @@
             if (!ending.contains(run)) {
                 boolean settled = entry.hasListed(run, now - GAUGE_WINDOW_NANOS);
                 state.step(run.task()).ifPresent(settled ? capacity::allocateSettled : capacity::allocate);
+                if (state.suspect(run.task()) && !entry.hasSurvivedStart(run)) {
+                    capacity.addSuspectOf(run.task().job());
+                }
             }
         }
         return capacity;
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/WaitReason.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/WaitReason.java
@@ -17,5 +17,7 @@
     /** No healthy worker has the memory, the accelerators and the processor time free. */
     NO_CAPACITY,
     /** No worker with capacity has serving tasks that tolerate another best-effort task. */
-    SERVING_TASKS_NEAR_TARGET
+    SERVING_TASKS_NEAR_TARGET,
+    /** All other workers were excluded, and those left run a task of another job under which a worker crashed. */
+    WORKERS_RUN_SUSPECTS
 }
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/WorkerCapacity.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/WorkerCapacity.java
@@ -1,10 +1,13 @@
 package dev.waxwinghead.scheduling.job;
 
+import dev.waxwinghead.model.id.JobId;
 import dev.waxwinghead.model.resource.Resources;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /** Tracks the free capacity of a worker within one scheduling round. */
 final class WorkerCapacity {
@@ -15,6 +18,7 @@
     private final List<InterferenceControl.ResidentTask> residents;
     private final Map<String, Integer> servingTasksByImage = new HashMap<>();
     private final List<JobStep> arriving = new ArrayList<>();
+    private final Set<JobId> jobsOfSuspects = new HashSet<>();
     private long freeMillicores;
     private long freeMemoryBytes;
     private long freeAccelerators;
@@ -90,6 +94,16 @@
         }
     }
 
+    /** Records that the worker runs a task of a job under which a worker crashed and that may crash this one, too. */
+    void addSuspectOf(JobId job) {
+        jobsOfSuspects.add(job);
+    }
+
+    /** Returns whether the worker runs no suspect of another job; those of one job fail together. */
+    boolean acceptsSuspectOf(JobId job) {
+        return jobsOfSuspects.isEmpty() || (jobsOfSuspects.size() == 1 && jobsOfSuspects.contains(job));
+    }
+
     /** Returns whether a task of a step would fit once all finite tasks on the worker have ended. */
     boolean fitsEventually(JobStep step) {
         return step.need().millicores() <= freeMillicores + finiteMillicores;
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/WorkerEntry.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/WorkerEntry.java
@@ -6,13 +6,18 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 
 /** Holds what the scheduler knows about one incarnation of a worker. */
 final class WorkerEntry {
+    /** How long a worker must list a run before the start of the run counts as survived; covers several reports. */
+    private static final long PROVING_NANOS = TimeUnit.SECONDS.toNanos(2);
+
     private final WorkerIncarnation incarnation;
     private final Map<RunKey, RunObservation> observations = new HashMap<>();
     private final Map<RunKey, WorkerReport.EndedRun> ends = new LinkedHashMap<>();
     private final Set<RunKey> stopping = new HashSet<>();
+    private final Set<RunKey> sent = new HashSet<>();
     private WorkerReport report;
     private long reportedNanos;
     private long leaseEndNanos;
@@ -20,6 +25,7 @@
     private long learnedNanos;
     private long evictedNanos;
     private long refusedUntilNanos = Long.MIN_VALUE;
+    private boolean crashed;
     private boolean awaitsAnswer;
     private boolean hasRoom = true;
 
@@ -75,6 +81,21 @@
         return observation != null && observation.firstListedNanos() - beforeNanos < 0;
     }
 
+    /** Returns whether a run that its worker listed last was running for so long that its start cannot crash it. */
+    boolean hasSurvivedStart(RunKey run) {
+        return hasListed(run, reportedNanos - PROVING_NANOS);
+    }
+
+    /** Returns the runs whose starts were sent in an answer. */
+    Set<RunKey> sent() {
+        return sent;
+    }
+
+    /** Returns whether the worker may have crashed because of the start of a run. */
+    boolean mayHaveCrashedUnder(RunKey run) {
+        return crashed && sent.contains(run) && !hasSurvivedStart(run);
+    }
+
     /** Returns the reported ends that are not yet applied to the table. */
     Map<RunKey, WorkerReport.EndedRun> ends() {
         return ends;
@@ -93,6 +114,16 @@
         exitNanos = Math.min(exitNanos, fromNanos);
     }
 
+    /** Records that another process has replaced the worker's, which has crashed unless it was to exit. */
+    void replaced(long now) {
+        crashed |= !lost(now) && !hasExited() && !report.leaving();
+        exited(now);
+    }
+
+    boolean crashed() {
+        return crashed;
+    }
+
     /** Returns whether nothing can be running on the worker any more. */
     boolean lost(long now) {
         return now - leaseEndNanos >= 0 || (exitNanos != Long.MAX_VALUE && now - exitNanos >= 0);
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/WorkerRegistry.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/WorkerRegistry.java
@@ -90,7 +90,7 @@
     }
 
     private void retire(WorkerEntry entry, long now) {
-        entry.exited(now);
+        entry.replaced(now);
         latest.remove(entry.id(), entry);
         earlier.put(entry.incarnation(), entry);
     }
--- a/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/FleetSimulation.java
+++ b/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/FleetSimulation.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -30,6 +31,8 @@
     private static final long ANSWER_CHECK_MILLIS = 25;
     private static final long END_REPORT_MILLIS = 50;
     private static final long WORKER_MEMORY = 128_000;
+    private static final long CRASH_MILLIS = 10;
+    private static final long RESTART_MILLIS = 3000;
 
     private final JobTable table = JobTable.create();
     private final JobScheduler scheduler;
@@ -40,6 +43,8 @@
     private final Map<JobId, Long> firstStarts = new HashMap<>();
     private final Map<JobId, Long> ends = new HashMap<>();
     private final Map<JobId, Long> submissions = new LinkedHashMap<>();
+    private final Set<JobId> crashing = new HashSet<>();
+    private final Map<JobId, Integer> crashes = new HashMap<>();
     private long nowMillis = 1_000_000;
     private long eventNumber;
     private long logIndex;
@@ -64,6 +69,21 @@
         workers.get(worker).speed = speed;
     }
 
+    /** Makes the tasks of a job crash the workers that start them. */
+    void setCrashing(String job) {
+        crashing.add(JobId.of(job));
+    }
+
+    /** Returns how many workers the tasks of a job have crashed. */
+    int crashesOf(String job) {
+        return crashes.getOrDefault(JobId.of(job), 0);
+    }
+
+    /** Lets a worker crash now, through no fault of its tasks; it is back after some seconds under another id. */
+    void crash(int worker) {
+        workers.get(worker).crash();
+    }
+
     /** Submits a job after a delay. The tasks of its steps take their estimated time. */
     void submit(long delayMillis, JobTerms terms, String id, JobStep... steps) {
         at(delayMillis, () -> {
@@ -171,15 +191,20 @@
         }
 
         void answer() {
-            scheduler.answer(receipt).ifPresent(worker::answered);
+            scheduler
+                    .answer(receipt)
+                    .filter(answer -> worker.incarnation.equals(receipt.incarnation()))
+                    .ifPresent(worker::answered);
         }
     }
 
     private final class SimulatedWorker {
-        private final WorkerIncarnation incarnation;
+        private final String address;
         private final long millicores;
         private final Map<RunKey, Progress> running = new LinkedHashMap<>();
         private final List<WorkerReport.EndedRun> ended = new ArrayList<>();
+        private WorkerIncarnation incarnation;
+        private boolean down;
         private double speed = 1;
         private long sequence;
         private long lastEnd;
@@ -188,14 +213,34 @@
         private boolean endedMeanwhile;
 
         SimulatedWorker(int number, long millicores) {
-            this.incarnation = JobFixtures.incarnation("w" + number, 1);
+            this.address = "w" + number;
+            this.incarnation = JobFixtures.incarnation(address, 1);
             this.millicores = millicores;
         }
 
+        private void crash() {
+            if (down) {
+                return;
+            }
+            down = true;
+            reportNumber++;
+            running.clear();
+            ended.clear();
+            long life = incarnation.startedEpochMillis() + 1;
+            incarnation = JobFixtures.incarnation(address + "-" + life, life);
+            at(RESTART_MILLIS, () -> {
+                down = false;
+                endedMeanwhile = false;
+                sequence = 0;
+                lastEnd = 0;
+                report();
+            });
+        }
+
         private void reportIn(long delayMillis) {
             long number = ++reportNumber;
             at(delayMillis, () -> {
-                if (number == reportNumber && !outstanding) {
+                if (number == reportNumber && !outstanding && !down) {
                     report();
                 }
             });
@@ -210,7 +255,7 @@
                     incarnation,
                     ++sequence,
                     ServiceName.of("orders"),
-                    incarnation.worker().value(),
+                    address,
                     Resources.of(millicores, WORKER_MEMORY, 0),
                     Set.of(),
                     "",
@@ -251,7 +296,15 @@
                     new Progress(step, nowMillis, speed, checkpoint.isEmpty() ? 0 : Double.parseDouble(checkpoint));
             running.put(run, progress);
             firstStarts.putIfAbsent(run.task().job(), nowMillis);
-            if (!step.lasting()) {
+            if (crashing.contains(run.task().job())) {
+                WorkerIncarnation started = incarnation;
+                at(CRASH_MILLIS, () -> {
+                    if (incarnation.equals(started)) {
+                        crashes.merge(run.task().job(), 1, Integer::sum);
+                        crash();
+                    }
+                });
+            } else if (!step.lasting()) {
                 at(progress.remainingMillis(), () -> end(run, WorkerReport.ReportedEnd.COMPLETED));
             }
         }
--- a/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/FleetTests.java
+++ b/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/FleetTests.java
@@ -1,6 +1,7 @@
 package dev.waxwinghead.scheduling.job;
 
 import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
 
 import dev.waxwinghead.model.id.JobClassName;
 import dev.waxwinghead.model.id.JobId;
@@ -8,11 +9,15 @@
 import dev.waxwinghead.model.id.WorkerId;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Random;
+import java.util.Set;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Plays loads on fleets of simulated workers and checks what callers get. */
 class FleetTests {
@@ -140,4 +145,39 @@
             return step(8, 2200, 3500, false, 0);
         }
     }
+
+    @Nested
+    class TasksThatCrashTheirWorkers {
+        private static final int JOBS = 200;
+
+        @ParameterizedTest
+        @ValueSource(longs = {1, 7, 42, 101, 1961})
+        void areGivenUpSoonWhileAllOtherJobsComplete(long seed) {
+            FleetSimulation fleet = new FleetSimulation(32, 16_000, new SilentListener());
+            Random random = new Random(seed);
+            Set<String> crashing = new HashSet<>();
+            for (int job = 0; job < JOBS; job++) {
+                String id = "j" + job;
+                if (random.nextInt(20) == 0) {
+                    crashing.add(id);
+                    fleet.setCrashing(id);
+                }
+                int count = crashing.contains(id) ? 1 : 4;
+                fleet.submit(1000 + random.nextInt(40_000), URGENT, id, step(count, 640, 2000, false));
+            }
+            for (int crash = 0; crash < 10; crash++) {
+                int worker = random.nextInt(32);
+                fleet.at(1000 + random.nextInt(40_000), () -> fleet.crash(worker));
+            }
+            fleet.run(Duration.ofSeconds(90));
+            assertThat(crashing).isNotEmpty();
+            for (int job = 0; job < JOBS; job++) {
+                String id = "j" + job;
+                boolean atFault = crashing.contains(id);
+                JobState state = fleet.table().find(JobId.of(id)).orElseThrow().state();
+                assertWithMessage(id).that(state).isEqualTo(atFault ? JobState.FAILED : JobState.DONE);
+                assertWithMessage(id).that(fleet.crashesOf(id)).isEqualTo(atFault ? 3 : 0);
+            }
+        }
+    }
 }
--- a/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobSchedulerTests.java
+++ b/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobSchedulerTests.java
@@ -26,7 +26,7 @@
 
     private final JobTable table = JobTable.create();
     private final List<String> stops = new ArrayList<>();
-    private final JobScheduler scheduler = JobScheduler.of(table, TIMES, new RecordedEvents(stops));
+    private JobScheduler scheduler = JobScheduler.of(table, TIMES, new RecordedEvents(stops));
     private long index;
     private long now = TimeUnit.SECONDS.toNanos(1000);
     private long sequence;
@@ -342,6 +342,223 @@
         }
     }
 
+    @Nested
+    class TasksThatCrashTheirWorkers {
+        private static final String ADDRESS = "10.0.0.9:80";
+
+        private int crashes;
+        private WorkerIncarnation worker = JobFixtures.incarnation("c0", 1);
+
+        @Test
+        void areGivenUpAfterTheThirdCrash() {
+            accept("j1", JobFixtures.step(1, List.of()));
+            crashWorkers(2);
+            assertThat(state("j1")).isEqualTo(JobState.RUNNING);
+            crashWorkers(1);
+            assertThat(state("j1")).isEqualTo(JobState.FAILED);
+        }
+
+        @Test
+        void areGivenUpEvenIfTheyAreLasting() {
+            accept("s1", JobFixtures.step(1, List.of(), true, false, 100));
+            crashWorkers(3);
+            assertThat(state("s1")).isEqualTo(JobState.FAILED);
+        }
+
+        @Test
+        void areGivenUpAfterCrashesThatSeveralSchedulersSaw() {
+            accept("j1", JobFixtures.step(1, List.of()));
+            crashWorkers(2);
+            scheduler = JobScheduler.of(table, TIMES, new RecordedEvents(stops));
+            table.apply(++index, new JobCommand.Acquire(HostId.of("h2")));
+            scheduler.takeOver(now);
+            crashWorkers(1);
+            assertThat(state("j1")).isEqualTo(JobState.FAILED);
+        }
+
+        @Test
+        void areKnownByCrashesWithoutAnEndInBetween() {
+            accept("j1", JobFixtures.step(1, List.of()));
+            crashWorkers(2);
+            start();
+            report(ended(1, "j1", 0, 3, ReportedEnd.FAILED));
+            commit(plan());
+            crashWorkers(2);
+            assertThat(state("j1")).isEqualTo(JobState.RUNNING);
+            crashWorkers(1);
+            assertThat(state("j1")).isEqualTo(JobState.FAILED);
+        }
+
+        @Test
+        void areNotSuspectedWhenLeasesExpire() {
+            accept("j1", JobFixtures.step(1, List.of()));
+            for (int i = 0; i < 4; i++) {
+                start();
+                now += TimeUnit.SECONDS.toNanos(11);
+                restart();
+                assertThat(table.runsOn(worker)).isEmpty();
+            }
+            assertThat(state("j1")).isEqualTo(JobState.RUNNING);
+        }
+
+        @Test
+        void areNotSuspectedWhenWorkersLeave() {
+            accept("j1", JobFixtures.step(1, List.of()));
+            for (int i = 0; i < 4; i++) {
+                start();
+                report(true, List.of(), List.of());
+                restart();
+            }
+            assertThat(state("j1")).isEqualTo(JobState.RUNNING);
+        }
+
+        @Test
+        void areNotSuspectedWhenWorkersAnnounceTheirExit() {
+            accept("j1", JobFixtures.step(1, List.of()));
+            for (int i = 0; i < 4; i++) {
+                start();
+                scheduler.workerLeft(worker, now);
+                restart();
+            }
+            assertThat(state("j1")).isEqualTo(JobState.RUNNING);
+        }
+
+        @Test
+        void areNotSuspectedOnceTheyHaveRunForAWhile() {
+            accept("j1", JobFixtures.step(1, List.of()));
+            for (int attempt = 1; attempt <= 4; attempt++) {
+                start();
+                report(false, List.of(running("j1", 0, attempt, 1)), List.of());
+                now += TimeUnit.MILLISECONDS.toNanos(2100);
+                report(false, List.of(running("j1", 0, attempt, 2)), List.of());
+                restart();
+            }
+            assertThat(state("j1")).isEqualTo(JobState.RUNNING);
+        }
+
+        @Test
+        void areNotSuspectedIfTheirStartWasNeverSent() {
+            accept("j1", JobFixtures.step(1, List.of()));
+            for (int i = 0; i < 4; i++) {
+                report(false, List.of(), List.of());
+                commit(plan());
+                restart();
+            }
+            assertThat(state("j1")).isEqualTo(JobState.RUNNING);
+        }
+
+        @Test
+        void areNotSuspectedIfTheirEndWasReported() {
+            accept("j1", JobFixtures.step(1, List.of()));
+            for (int attempt = 1; attempt <= 4; attempt++) {
+                start();
+                report(ended(1, "j1", 0, attempt, ReportedEnd.REFUSED));
+                restart();
+                now += TimeUnit.SECONDS.toNanos(1);
+            }
+            assertThat(state("j1")).isEqualTo(JobState.RUNNING);
+        }
+
+        @Test
+        void neverShareAWorkerWithASuspectOfAnotherJob() {
+            accept("j1", JobFixtures.step(1, List.of()));
+            accept("j2", JobFixtures.step(1, List.of()));
+            crashWorkers(1);
+            accept("j3", JobFixtures.step(1, List.of()));
+            start();
+            assertThat(table.runsOn(worker))
+                    .containsExactly(JobFixtures.run("j1", 0, 0, 2), JobFixtures.run("j3", 0, 0, 1));
+            startAll(W22);
+            assertThat(table.runsOn(W22)).containsExactly(JobFixtures.run("j2", 0, 0, 2));
+        }
+
+        @Test
+        void mayJoinASuspectThatHasRunForAWhile() {
+            accept("j1", JobFixtures.step(1, List.of()));
+            accept("j2", JobFixtures.step(1, List.of()));
+            crashWorkers(1);
+            start();
+            report(false, List.of(running("j1", 0, 2, 1)), List.of());
+            now += TimeUnit.MILLISECONDS.toNanos(2100);
+            report(false, List.of(running("j1", 0, 2, 2)), List.of());
+            commit(plan());
+            assertThat(table.runsOn(worker)).hasSize(2);
+        }
+
+        @Test
+        void failNoOtherJobOnTheSameWorker() {
+            accept("j1", JobFixtures.step(1, List.of()));
+            accept("j2", JobFixtures.step(1, List.of()));
+            for (int round = 0; round < 5; round++) {
+                start();
+                if (table.runsOn(worker).contains(lastRun("j1"))) {
+                    restart();
+                } else {
+                    report(new EndedRun(1, lastRun("j2"), ReportedEnd.COMPLETED, ""));
+                    commit(plan());
+                }
+            }
+            assertThat(state("j1")).isEqualTo(JobState.FAILED);
+            assertThat(state("j2")).isEqualTo(JobState.DONE);
+        }
+
+        @Test
+        void keepNoOtherTaskOfTheirStepWaiting() {
+            accept("j1", JobFixtures.step(1, List.of()));
+            accept("j2", JobFixtures.step(5, List.of()));
+            crashWorkers(1);
+            start();
+            assertThat(table.runsOn(worker))
+                    .containsAtLeast(
+                            JobFixtures.run("j1", 0, 0, 2),
+                            JobFixtures.run("j2", 0, 3, 1),
+                            JobFixtures.run("j2", 0, 4, 1));
+        }
+
+        /** Lets the worker crash after it was sent the starts of all tasks that it has capacity for. */
+        private void crashWorkers(int times) {
+            for (int i = 0; i < times; i++) {
+                start();
+                restart();
+            }
+        }
+
+        private void start() {
+            report(false, List.of(), List.of());
+            commit(plan());
+            report(false, List.of(), List.of());
+        }
+
+        /** Replaces the worker by one with another id at the same address. */
+        private void restart() {
+            crashes++;
+            worker = JobFixtures.incarnation("c" + crashes, 1 + crashes);
+            report(false, List.of(), List.of());
+            commit(plan());
+        }
+
+        private void report(EndedRun end) {
+            report(false, List.of(), List.of(end));
+        }
+
+        private void report(boolean leaving, List<RunningTask> running, List<EndedRun> ended) {
+            WorkerReport report = JobFixtures.report(worker, ++sequence, ADDRESS, leaving, running, ended);
+            assertThat(scheduler.report(report, now)).isNotEqualTo(Optional.empty());
+        }
+
+        private RunKey lastRun(String job) {
+            int attempts = table.find(JobId.of(job))
+                    .orElseThrow()
+                    .task(JobFixtures.run(job, 0, 0, 1).task())
+                    .attempts();
+            return JobFixtures.run(job, 0, 0, attempts);
+        }
+
+        private JobState state(String job) {
+            return table.find(JobId.of(job)).orElseThrow().state();
+        }
+    }
+
     private void accept(String id, JobStep... steps) {
         table.apply(++index, JobFixtures.accept(id, steps));
     }
@@ -407,6 +624,12 @@
         @Override
         public void ended(EndedRun end, WorkerIncarnation worker) {}
 
+        @Override
+        public void workerCrashed(RunKey run, WorkerIncarnation worker, int crashes) {}
+
+        @Override
+        public void givenUp(TaskKey task, int crashes) {}
+
         @Override
         public void waiting(JobRecord job, int step, WaitReason reason) {}
 
--- a/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobTableTests.java
+++ b/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobTableTests.java
@@ -119,6 +119,42 @@
             assertThat(job("j1").state()).isEqualTo(JobState.RUNNING);
         }
 
+        @Test
+        void failsTheJobOnceThreeWorkersHaveCrashedUnderATask() {
+            apply(JobFixtures.accept("j1", JobFixtures.step(2, List.of())));
+            start("j1", 0, 1, 1);
+            end("j1", 0, 1, 1, RunEnd.WORKER_CRASHED);
+            for (int attempt = 1; attempt <= 3; attempt++) {
+                assertThat(job("j1").state()).isEqualTo(JobState.RUNNING);
+                start("j1", 0, 0, attempt);
+                end("j1", 0, 0, attempt, RunEnd.WORKER_CRASHED);
+            }
+            assertThat(job("j1").state()).isEqualTo(JobState.FAILED);
+        }
+
+        @Test
+        void keepsTheNumberOfCrashesWhenARunIsInterrupted() {
+            apply(JobFixtures.accept("j1", JobFixtures.step(1, List.of())));
+            start("j1", 0, 0, 1);
+            end("j1", 0, 0, 1, RunEnd.WORKER_CRASHED);
+            start("j1", 0, 0, 2);
+            end("j1", 0, 0, 2, RunEnd.INTERRUPTED);
+            TaskRecord task = job("j1").task(JobFixtures.run("j1", 0, 0, 1).task());
+            assertThat(task.crashes()).isEqualTo(1);
+            assertThat(task.suspect()).isTrue();
+        }
+
+        @Test
+        void clearsATaskOfSuspicionWhenARunFails() {
+            apply(JobFixtures.accept("j1", JobFixtures.step(1, List.of())));
+            start("j1", 0, 0, 1);
+            end("j1", 0, 0, 1, RunEnd.WORKER_CRASHED);
+            start("j1", 0, 0, 2);
+            end("j1", 0, 0, 2, RunEnd.FAILED);
+            assertThat(job("j1").task(JobFixtures.run("j1", 0, 0, 1).task()).suspect())
+                    .isFalse();
+        }
+
         @Test
         void ignoresTheEndOfARunThatHasEndedAlready() {
             apply(JobFixtures.accept("j1", JobFixtures.step(1, List.of())));
--- a/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/SilentListener.java
+++ b/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/SilentListener.java
@@ -22,6 +22,12 @@
     @Override
     public void ended(WorkerReport.EndedRun end, WorkerIncarnation worker) {}
 
+    @Override
+    public void workerCrashed(RunKey run, WorkerIncarnation worker, int crashes) {}
+
+    @Override
+    public void givenUp(TaskKey task, int crashes) {}
+
     @Override
     public void waiting(JobRecord job, int step, WaitReason reason) {}
 
