--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobSection.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobSection.java
@@ -55,6 +55,7 @@
                 packer.packLong(table.epoch());
                 MessagePackCodec.list(packer, table.canceledBeforeArrival(), (out, job) -> out.packString(job.value()));
                 MessagePackCodec.list(packer, table.all(), JobSection::packJob);
+                MessagePackCodec.list(packer, suspects(), this::packSuspect);
             });
         }
     }
@@ -67,6 +68,10 @@
                 long epoch = unpacker.unpackLong();
                 table.restore(epoch, MessagePackCodec.list(unpacker, in -> JobId.of(in.unpackString())));
                 MessagePackCodec.list(unpacker, this::unpackJob);
+                // Snapshots of earlier versions end here.
+                if (unpacker.hasNext()) {
+                    MessagePackCodec.list(unpacker, this::unpackSuspect);
+                }
                 return epoch;
             });
         }
@@ -86,6 +91,24 @@
         return accept.submission().id();
     }
 
+    private List<TaskKey> suspects() {
+        return table.all().stream()
+                .flatMap(job -> modifiedTasks(job).stream()
+                        .filter(task -> job.task(task).suspect()))
+                .toList();
+    }
+
+    private void packSuspect(MessageBufferPacker packer, TaskKey task) throws IOException {
+        JobCodec.packTask(packer, task);
+        packer.packInt(table.find(task.job()).orElseThrow().task(task).crashes());
+    }
+
+    private TaskKey unpackSuspect(MessageUnpacker unpacker) throws IOException {
+        TaskKey task = JobCodec.unpackTask(unpacker);
+        table.restoreCrashes(task, unpacker.unpackInt());
+        return task;
+    }
+
     private static List<TaskKey> modifiedTasks(JobRecord job) {
         List<TaskKey> modified = new ArrayList<>();
         for (int occurrence = 0; occurrence < job.occurrences().size(); occurrence++) {
--- a/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/jobs/JobSectionTests.java
+++ b/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/jobs/JobSectionTests.java
@@ -19,6 +19,7 @@
 import dev.waxwinghead.scheduling.job.RunKey;
 import dev.waxwinghead.scheduling.job.TaskKey;
 import dev.waxwinghead.scheduling.job.WorkerIncarnation;
+import java.util.Arrays;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
@@ -26,6 +27,8 @@
     private static final WorkerIncarnation WORKER = new WorkerIncarnation(WorkerId.of("w1"), 17);
     private static final JobId JOB = JobId.of("5c0e7a21d94b36f8");
 
+    private static final int EMPTY_LIST_BYTES = 1;
+
     private final JobSection section = new JobSection();
     private long index;
 
@@ -63,6 +66,31 @@
         assertThat(restored.snapshot()).isEqualTo(section.snapshot());
     }
 
+    @Test
+    void restoresHowManyWorkersCrashedUnderATask() {
+        fill();
+        apply(new JobCommand.Advance(
+                section.table().epoch(), List.of(new JobTransition.Ended(run(1), RunEnd.WORKER_CRASHED, ""))));
+        JobSection restored = new JobSection();
+        restored.restore(section.snapshot());
+        assertThat(crashes(restored)).isEqualTo(1);
+        assertThat(restored.snapshot()).isEqualTo(section.snapshot());
+    }
+
+    @Test
+    void restoresASnapshotWithoutTheListOfCrashes() {
+        fill();
+        byte[] snapshot = section.snapshot();
+        JobSection restored = new JobSection();
+        restored.restore(Arrays.copyOf(snapshot, snapshot.length - EMPTY_LIST_BYTES));
+        assertThat(restored.snapshot()).isEqualTo(snapshot);
+        assertThat(crashes(restored)).isEqualTo(0);
+    }
+
+    private static int crashes(JobSection section) {
+        return section.table().find(JOB).orElseThrow().task(run(1).task()).crashes();
+    }
+
     private void fill() {
         JobStep step = new JobStep(
                 3,
