Explain why a job was given up

explain showed the lines worker-crashed and job-given-up but its summary did not mention them, and a run that ended with its worker was still counted as running in the longest time without a run.

Evidence: explainsWhyJobWasGivenUp failed before, as the summary had neither sentence.

--- a/waxwinghead-cli/src/main/java/dev/waxwinghead/cli/explain/JobFindings.java
+++ b/waxwinghead-cli/src/main/java/dev/waxwinghead/cli/explain/JobFindings.java
@@ -21,6 +21,7 @@
         findings.addStartDelay();
         findings.addLongestIdleTime();
         findings.addStopsAndEnds();
+        findings.addCrashes();
         findings.addOutcome();
         return findings.findings;
     }
@@ -59,7 +60,7 @@
                 longestIdleMillis =
                         Math.max(longestIdleMillis, running == 0 && idleSince > 0 ? line.epochMillis() - idleSince : 0);
                 running++;
-            } else if (line.event().equals("task-end")) {
+            } else if (line.event().equals("task-end") || line.event().equals("worker-crashed")) {
                 running = Math.max(0, running - 1);
                 idleSince = line.epochMillis();
             }
@@ -85,6 +86,18 @@
                         findings.add("Worker " + line.text("worker") + " was lost: " + line.text("reason") + "."));
     }
 
+    private void addCrashes() {
+        for (LogLine line : lines) {
+            if (line.event().equals("worker-crashed")) {
+                findings.add("Worker " + line.text("worker") + " crashed under task " + line.text("task") + ", attempt "
+                        + line.text("attempt") + ".");
+            } else if (line.event().equals("job-given-up")) {
+                findings.add("The job was given up: " + line.text("crashes") + " workers crashed under task "
+                        + line.text("task") + ".");
+            }
+        }
+    }
+
     private void addOutcome() {
         if (first("job-canceled").isPresent()) {
             findings.add("A caller canceled the job.");
--- a/waxwinghead-cli/src/test/java/dev/waxwinghead/cli/ExplainJobTests.java
+++ b/waxwinghead-cli/src/test/java/dev/waxwinghead/cli/ExplainJobTests.java
@@ -76,6 +76,17 @@
         assertThat(output()).contains("The job ended in state failed after 8600 ms");
     }
 
+    @Test
+    void explainsWhyJobWasGivenUp() {
+        String crash = "{\"at\":9400,\"event\":\"worker-crashed\",\"job\":\"j1\",\"task\":\"j1.0.0.0\","
+                + "\"attempt\":1,\"worker\":\"w1\",\"crashes\":3}\n";
+        String givenUp =
+                "{\"at\":9401,\"event\":\"job-given-up\",\"job\":\"j1\",\"task\":\"j1.0.0.0\"," + "\"crashes\":3}\n";
+        run(ACCEPTED + STARTED + crash + givenUp, "explain", "job", "j1");
+        assertThat(output()).contains("Worker w1 crashed under task j1.0.0.0, attempt 1.");
+        assertThat(output()).contains("The job was given up: 3 workers crashed under task j1.0.0.0.");
+    }
+
     @Test
     void showsLinesOfAllHostsInOrder(@TempDir Path folder) throws IOException {
         Path first = Files.writeString(folder.resolve("a.log"), FAILED + "# a crash report\n");
