Stop the replica when the state machine fails with an error

Callers would see a host that answers from a state that lacks a command.

Cause: the applying thread caught RuntimeException only. An error, such as a StackOverflowError, ended that thread, the pool started another one, and the entries after it were applied to a state without the entry. The failure was reported to nobody, and the proposal waited for its deadline.

Evidence: ApplierTests before the change: entriesAfterAnErrorAreNotApplied 'expected to be empty', errorInTheStateMachineStopsTheReplica TimeoutException after 5 s.

--- a/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/replica/Applier.java
+++ b/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/replica/Applier.java
@@ -111,7 +111,7 @@
         }
         try {
             task.run();
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             failed = true;
             failureReceiver.accept(WaxwingheadException.from(e));
         }
