Dial again after a thread of a connection to a peer could not start

Callers would see a host that stays cut off from one peer until it is started again.

Cause: an unexpected exception or error while a connection is served, such as the OutOfMemoryError of a system without a further thread, ended the dialling thread. The session stayed in place, so that messages were queued for a connection that nobody wrote, and nothing was logged by the link.

Evidence: FailingThreadTests.linkConnectsAfterItsReaderCouldNotStart before the change: not connected within 5 s. After it the test passes.

--- a/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/tcp/OutgoingLink.java
+++ b/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/tcp/OutgoingLink.java
@@ -10,7 +10,6 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executor;
-import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.atomic.AtomicLong;
 
@@ -152,7 +151,7 @@
         try {
             executor.execute(opened::readFrames);
             new FrameWriter(opened.connection, opened.outbox, settings.heartbeatInterval()).run();
-        } catch (IOException | InterruptedException | RejectedExecutionException e) {
+        } catch (IOException | InterruptedException | RuntimeException | Error e) {
             opened.terminate(e);
         }
         lastHeardNanos = opened.connection.lastHeardNanos();
@@ -243,7 +242,7 @@
             }
         }
 
-        void terminate(Exception cause) {
+        void terminate(Throwable cause) {
             if (closeReason.isEmpty()) {
                 closeReason = cause.getMessage() == null ? cause.getClass().getSimpleName() : cause.getMessage();
             }
