Accept further peers after a thread for one of them could not start

Callers would see a host that no peer reaches until it is started again.

Cause: the accepting thread caught IOException only, and the error of an executor without a further thread ended it. The port stayed open, so that peers connected to it and got no answer. The refused connection also kept its place among the limited connections.

Evidence: FailingThreadTests.listenerAcceptsAfterAConnectionCouldNotBeServed before the change: not connected within 5 s. After it the test passes.

--- a/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/tcp/Listener.java
+++ b/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/tcp/Listener.java
@@ -65,7 +65,7 @@
         while (!server.isClosed()) {
             try {
                 accept(server.accept());
-            } catch (IOException e) {
+            } catch (IOException | RuntimeException | Error e) {
                 stateLogger.logIfChanged(
                         "peer port", server.isClosed() ? "closed" : "failed to accept: " + e.getMessage());
             }
@@ -80,7 +80,12 @@
         }
         FrameConnection connection = FrameConnection.of(socket, settings.silenceTimeout(), counters, ticker);
         connections.add(connection);
-        executor.execute(() -> serve(connection));
+        try {
+            executor.execute(() -> serve(connection));
+        } catch (RuntimeException | Error e) {
+            remove(connection);
+            throw e;
+        }
     }
 
     private void serve(FrameConnection connection) {
@@ -100,11 +105,15 @@
         } catch (IOException e) {
             stateLogger.logIfChanged("connections from " + connection.remoteHost(), "ended");
         } finally {
-            connection.close();
-            connections.remove(connection);
+            remove(connection);
         }
     }
 
+    private void remove(FrameConnection connection) {
+        connection.close();
+        connections.remove(connection);
+    }
+
     @Override
     public void close() throws IOException {
         server.close();
--- a/waxwinghead-coordination/src/test/java/dev/waxwinghead/coordination/tcp/FailingThreadTests.java
+++ b/waxwinghead-coordination/src/test/java/dev/waxwinghead/coordination/tcp/FailingThreadTests.java
@@ -44,6 +44,13 @@
         assertThat(connects(link)).isTrue();
     }
 
+    @Test
+    void listenerAcceptsAfterAConnectionCouldNotBeServed() throws Exception {
+        Listener listener = listen(failingSecond());
+        OutgoingLink link = dial(listener, threads);
+        assertThat(connects(link)).isTrue();
+    }
+
     private Listener listen(Executor executor) throws IOException {
         Listener listener = closer.register(
                 new Listener(settings(E2), new HandlerRegistry(), counters, stateLogger, executor, TICKER));
