Keep planning after a step of the job engine failed with an error

Callers would see accepted jobs that never start, on a leader that keeps its leadership and answers calls. Shown by a test; not seen in the deployment.

Cause: the thread of the engine caught RuntimeException only. An error, such as a StackOverflowError on the small stacks of the deployment, ended the thread. The host stayed the leader, so no other host took over. An error is now handled as an exception is: logged, and followed by a new epoch.

Evidence: JobEngineTests.engineActsAgainAfterAnError before the change: no command proposed within 5 s. After it the test passes.

--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobEngine.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobEngine.java
@@ -239,7 +239,7 @@
                 }
             } catch (InterruptedException e) {
                 closed = true;
-            } catch (RuntimeException e) {
+            } catch (RuntimeException | Error e) {
                 Event.of("engine-step-failed").with("failure", e).write();
                 resign("failed");
             }
