Name no leader while the replica is stopped or out of contact

Cause: the view of a replica that no longer runs keeps the last leader, and the host passed it on in its status, in the refusal of calls and to workers, although the same status says that no majority is in reach.

Evidence: JobHostTests.isNotNamedAsTheLeaderByItsHost before the change: 'expected to be empty', 1 s after the replica of the leader was closed. After it the 3 tests of the class pass.

--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobHost.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobHost.java
@@ -121,7 +121,7 @@
                 classes,
                 jobs.table(),
                 engine,
-                () -> log.status().leader(),
+                () -> leaderInContact(log.status()),
                 ticker,
                 System::currentTimeMillis);
         JobHost host =
@@ -164,7 +164,8 @@
         LogStatus status = log.status();
         List<HostId> members =
                 status.members().stream().map(LogStatus.Member::host).toList();
-        return new HostStatus(status.leader(), members, classSection.current().isPresent());
+        return new HostStatus(
+                leaderInContact(status), members, classSection.current().isPresent());
     }
 
     /**
@@ -179,10 +180,15 @@
     /**
      * Returns the host that leads the log.
      *
-     * @return the leader, or empty if unknown
+     * @return the leader, or empty if unknown or if the replica of this host has stopped or is out of contact
      */
     public Optional<HostId> leader() {
-        return log.status().leader();
+        return leaderInContact(log.status());
+    }
+
+    /** Returns the leader, or empty if it is only the last one that the replica knew. */
+    private static Optional<HostId> leaderInContact(LogStatus status) {
+        return status.leader().filter(leader -> status.majorityInReach());
     }
 
     /**
--- a/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/jobs/JobHostTests.java
+++ b/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/jobs/JobHostTests.java
@@ -94,4 +94,23 @@
             assertThat(founder.leader()).isEmpty();
         }
     }
+
+    @Nested
+    class StoppedReplica {
+        /** Longer than the time after which a leader without contact to a majority counts as lost. */
+        private static final long OUT_OF_CONTACT_MILLIS = 1000;
+
+        @Test
+        void isNotNamedAsTheLeaderByItsHost() throws InterruptedException {
+            List<JobHost> hosts = List.of(start(0, true), start(1, true), start(2, true));
+            hosts.forEach(closer::register);
+            for (JobHost host : hosts) {
+                assertThat(findsLeader(host)).isTrue();
+            }
+            JobHost leading = hosts.get(SEEDS.indexOf(hosts.get(0).leader().orElseThrow()));
+            leading.close();
+            Thread.sleep(OUT_OF_CONTACT_MILLIS);
+            assertThat(leading.leader()).isEmpty();
+        }
+    }
 }
