Run periodic tasks again after an error

Callers would see a host whose peers, held answers or status are never updated again, without a log line. Shown by a test; not seen in the deployment.

Cause: a scheduled executor cancels an action that throws. The task caught RuntimeException only, so one error ended it for good and was kept in a future that nobody reads.

Evidence: PeriodicTaskTests.runsAgainAfterAnError before the change: fewer than 3 runs within 5 s. After it the test passes.

--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/part/PeriodicTask.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/part/PeriodicTask.java
@@ -33,7 +33,7 @@
     private static void runLogged(String name, Runnable action) {
         try {
             action.run();
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             LOG.errorf(e, "event=periodic-task-failed task=%s", name);
         }
     }
