Continue the periodic work of entry hosts after a full pool

Callers would see requests that stay queued past their deadlines, and tasks that are never placed, until the host is started again.

Cause: a scheduled executor cancels an action that throws. The queues of callers, the gossip about upstreams, the renewal of shares, the clock of claims and the scheduler of tasks were scheduled without a guard, and all but the clock hand work to the bounded pool, which throws once it is full. The tasks part also kept its mark that a run is active. They now use PeriodicTask, which logs and goes on. It schedules at a fixed rate, where four of them had a fixed delay.

The tests show the queues and the tasks; for gossip, shares and claims the fault was read only.

--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/callers/CallersPart.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/callers/CallersPart.java
@@ -6,6 +6,7 @@
 import dev.waxwinghead.daemon.http.JsonExchange;
 import dev.waxwinghead.daemon.part.DaemonContext;
 import dev.waxwinghead.daemon.part.DaemonPart;
+import dev.waxwinghead.daemon.part.PeriodicTask;
 import dev.waxwinghead.daemon.shares.SharesPart;
 import dev.waxwinghead.daemon.state.StateSection;
 import dev.waxwinghead.daemon.upstreams.UpstreamsPart;
@@ -23,7 +24,6 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
-import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 
@@ -98,8 +98,12 @@
         upstreams.registry().onChange(() -> context.pool().execute(dispatcher::drainQueues));
         shares.onIncrease(() -> context.pool().execute(dispatcher::drainQueues));
         route(context);
-        schedule(context, QUEUE_INTERVAL_MILLIS, () -> context.pool().execute(this::processQueues));
-        schedule(context, CLEANUP_INTERVAL_MILLIS, () -> {
+        schedule(
+                context,
+                QUEUE_INTERVAL_MILLIS,
+                "caller-queues",
+                () -> context.pool().execute(this::processQueues));
+        schedule(context, CLEANUP_INTERVAL_MILLIS, "caller-cleanup", () -> {
             clients.retain(table.retainLive());
             context.pool().execute(handler::endStalledFeeds);
             context.pool().execute(table::cancelExcess);
@@ -145,10 +149,8 @@
         dispatcher.drainQueues();
     }
 
-    private void schedule(DaemonContext context, long millis, Runnable action) {
-        ScheduledFuture<?> future =
-                context.timer().scheduleWithFixedDelay(action, millis, millis, TimeUnit.MILLISECONDS);
-        closer.register(() -> future.cancel(false));
+    private void schedule(DaemonContext context, long millis, String name, Runnable action) {
+        closer.register(PeriodicTask.start(context.timer(), millis, name, action));
     }
 
     private static void configureLimits(RequestLimits limits, Configuration configuration) {
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/claims/ClaimsPart.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/claims/ClaimsPart.java
@@ -2,13 +2,13 @@
 
 import dev.waxwinghead.daemon.part.DaemonContext;
 import dev.waxwinghead.daemon.part.DaemonPart;
+import dev.waxwinghead.daemon.part.PeriodicTask;
 import dev.waxwinghead.daemon.state.StateSection;
 import dev.waxwinghead.model.lifecycle.Closer;
 import dev.waxwinghead.model.time.Deadline;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 
@@ -54,13 +54,11 @@
                 context.self(),
                 ThreadLocalRandom.current().nextLong(1, Long.MAX_VALUE));
         store = created;
-        ScheduledFuture<?> ticking = context.timer()
-                .scheduleWithFixedDelay(
-                        () -> created.recordClock(context.self()).exceptionally(failure -> new byte[0]),
-                        CLOCK_INTERVAL_MINUTES,
-                        CLOCK_INTERVAL_MINUTES,
-                        TimeUnit.MINUTES);
-        closer.register(() -> ticking.cancel(false));
+        closer.register(PeriodicTask.start(
+                context.timer(),
+                TimeUnit.MINUTES.toMillis(CLOCK_INTERVAL_MINUTES),
+                "claim-clock",
+                () -> created.recordClock(context.self()).exceptionally(failure -> new byte[0])));
         context.meters().gauge("waxwinghead.claims", section, ClaimsSection::size);
     }
 
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/part/PeriodicTask.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/part/PeriodicTask.java
@@ -26,8 +26,27 @@
      */
     public static PeriodicTask start(
             ScheduledExecutorService timer, long intervalMillis, String name, Runnable action) {
+        return start(timer, intervalMillis, intervalMillis, name, action);
+    }
+
+    /**
+     * Starts running an action periodically, for the first time at once.
+     *
+     * @param timer the executor that runs the action
+     * @param intervalMillis the time between the starts of two runs, in milliseconds
+     * @param name the name of the action in log lines
+     * @param action the action; must not block
+     * @return the running task, never null
+     */
+    public static PeriodicTask startNow(
+            ScheduledExecutorService timer, long intervalMillis, String name, Runnable action) {
+        return start(timer, 0, intervalMillis, name, action);
+    }
+
+    private static PeriodicTask start(
+            ScheduledExecutorService timer, long delayMillis, long intervalMillis, String name, Runnable action) {
         return new PeriodicTask(timer.scheduleAtFixedRate(
-                () -> runLogged(name, action), intervalMillis, intervalMillis, TimeUnit.MILLISECONDS));
+                () -> runLogged(name, action), delayMillis, intervalMillis, TimeUnit.MILLISECONDS));
     }
 
     private static void runLogged(String name, Runnable action) {
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/shares/SharesPart.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/shares/SharesPart.java
@@ -4,6 +4,7 @@
 import dev.waxwinghead.coordination.peer.PeerNetwork;
 import dev.waxwinghead.daemon.part.DaemonContext;
 import dev.waxwinghead.daemon.part.DaemonPart;
+import dev.waxwinghead.daemon.part.PeriodicTask;
 import dev.waxwinghead.daemon.state.StateSection;
 import dev.waxwinghead.daemon.upstreams.Upstream;
 import dev.waxwinghead.daemon.upstreams.UpstreamsPart;
@@ -20,9 +21,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.ThreadLocalRandom;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 
 /**
@@ -145,10 +144,8 @@
                 ShareTerms.DEFAULT);
         daemonContext.peers().onCall(PeerChannel.SHARES, this::answer);
         openIfSafe();
-        ScheduledFuture<?> ticking = daemonContext
-                .timer()
-                .scheduleWithFixedDelay(this::tick, 0, RENEWAL_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
-        closer.register(() -> ticking.cancel(false));
+        closer.register(
+                PeriodicTask.startNow(daemonContext.timer(), RENEWAL_INTERVAL_MILLIS, "share-renewal", this::tick));
     }
 
     @Override
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/tasks/TasksPart.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/tasks/TasksPart.java
@@ -2,6 +2,7 @@
 
 import dev.waxwinghead.daemon.part.DaemonContext;
 import dev.waxwinghead.daemon.part.DaemonPart;
+import dev.waxwinghead.daemon.part.PeriodicTask;
 import dev.waxwinghead.daemon.state.StateSection;
 import dev.waxwinghead.daemon.workers.WorkerRoutes;
 import dev.waxwinghead.model.error.ErrorKind;
@@ -14,8 +15,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ScheduledFuture;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.jboss.logging.Logger;
 
@@ -136,21 +135,25 @@
         AtomicBoolean running = new AtomicBoolean();
         Runnable trigger = () -> {
             if (running.compareAndSet(false, true)) {
-                context.pool().execute(() -> {
-                    try {
-                        action.run();
-                    } catch (RuntimeException e) {
-                        context.meters()
-                                .counter("waxwinghead.tasks.faults", "where", name)
-                                .increment();
-                        LOG.errorf(e, "periodic %s run failed; next run in %d ms", name, millis);
-                    } finally {
-                        running.set(false);
-                    }
-                });
+                try {
+                    context.pool().execute(() -> run(name, millis, action, running));
+                } catch (RuntimeException e) {
+                    running.set(false);
+                    throw e;
+                }
             }
         };
-        ScheduledFuture<?> timer = context.timer().scheduleAtFixedRate(trigger, millis, millis, TimeUnit.MILLISECONDS);
-        closer.register(() -> timer.cancel(false));
+        closer.register(PeriodicTask.start(context.timer(), millis, name, trigger));
+    }
+
+    private void run(String name, long millis, Runnable action, AtomicBoolean running) {
+        try {
+            action.run();
+        } catch (RuntimeException e) {
+            context.meters().counter("waxwinghead.tasks.faults", "where", name).increment();
+            LOG.errorf(e, "periodic %s run failed; next run in %d ms", name, millis);
+        } finally {
+            running.set(false);
+        }
     }
 }
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/upstreams/UpstreamsPart.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/upstreams/UpstreamsPart.java
@@ -4,6 +4,7 @@
 import dev.waxwinghead.daemon.http.JsonExchange;
 import dev.waxwinghead.daemon.part.DaemonContext;
 import dev.waxwinghead.daemon.part.DaemonPart;
+import dev.waxwinghead.daemon.part.PeriodicTask;
 import dev.waxwinghead.daemon.state.StateSection;
 import dev.waxwinghead.model.error.ErrorKind;
 import dev.waxwinghead.model.error.WaxwingheadException;
@@ -17,9 +18,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.ThreadLocalRandom;
-import java.util.concurrent.TimeUnit;
 import java.util.function.ToIntFunction;
 
 /**
@@ -93,10 +92,8 @@
                 registry, context.peers(), ticker, ThreadLocalRandom.current().nextLong(1, Long.MAX_VALUE));
         context.workerHttp().route("/upstream/v1/announce", this::announce);
         context.operatorHttp().route("/v1/upstreams", exchange -> JsonExchange.respond(exchange, 200, listUpstreams()));
-        long interval = UpstreamGossip.INTERVAL.toMillis();
-        ScheduledFuture<?> future =
-                context.timer().scheduleWithFixedDelay(this::refresh, 0, interval, TimeUnit.MILLISECONDS);
-        closer.register(() -> future.cancel(false));
+        closer.register(PeriodicTask.startNow(
+                context.timer(), UpstreamGossip.INTERVAL.toMillis(), "upstream-gossip", this::refresh));
         context.meters().gauge("waxwinghead.upstreams.serving", registry, UpstreamsPart::countServing);
     }
 
--- a/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/callers/TestHost.java
+++ b/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/callers/TestHost.java
@@ -30,7 +30,9 @@
 import java.util.TreeMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 
 /** An entry host of a {@link TestCluster} with HTTP listeners on the loopback address. */
@@ -51,6 +53,8 @@
     private final HttpListener workerHttp;
     private final HttpListener operatorHttp;
     private volatile boolean closed;
+    private volatile boolean poolFull;
+    private final AtomicInteger poolActions = new AtomicInteger();
 
     private TestHost(TestCluster cluster, HostId id, DataCentreId dataCentre, List<Manifest> manifests) {
         this.id = id;
@@ -78,7 +82,13 @@
                 operatorHttp,
                 meters,
                 timer,
-                pool);
+                action -> {
+                    if (poolFull) {
+                        throw new RejectedExecutionException("the pool is full");
+                    }
+                    pool.execute(action);
+                    poolActions.incrementAndGet();
+                });
         for (DaemonPart part : parts) {
             part.start(context);
             closer.register(part);
@@ -94,6 +104,16 @@
                 manifests.length == 0 ? List.of() : Manifests.readYaml(String.join("\n---\n", manifests)));
     }
 
+    /** Makes the pool for work that may block reject or accept actions. */
+    void setPoolFull(boolean full) {
+        poolFull = full;
+    }
+
+    /** Returns how many actions the pool for work that may block has accepted. */
+    int poolActions() {
+        return poolActions.get();
+    }
+
     HostId id() {
         return id;
     }
--- a/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/tasks/FakeCluster.java
+++ b/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/tasks/FakeCluster.java
@@ -39,6 +39,7 @@
 import java.util.concurrent.ConcurrentSkipListMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.function.Consumer;
 
@@ -48,6 +49,7 @@
     private final Map<HostId, Host> hosts = new ConcurrentSkipListMap<>();
     private final ExecutorService pool = Executors.newCachedThreadPool();
     private final ScheduledExecutorService timer = Executors.newScheduledThreadPool(2);
+    private volatile boolean poolFull;
     private final TreeMap<ManifestKey, Configuration.Entry> entries = new TreeMap<>();
     private volatile Configuration configuration = new Configuration(0, new TreeMap<>());
     private long index;
@@ -57,6 +59,18 @@
         closer.register(timer::shutdownNow);
     }
 
+    /** Makes the pool reject or accept actions. */
+    void setPoolFull(boolean full) {
+        poolFull = full;
+    }
+
+    private void executeOnPool(Runnable action) {
+        if (poolFull) {
+            throw new RejectedExecutionException("the pool is full");
+        }
+        pool.execute(action);
+    }
+
     /** Adds a host that starts from a snapshot of a live host, if there is one, as a joining replica does. */
     synchronized Host addHost(String name, String dataCentre, Duration workerLease) {
         Host host = new Host(HostId.of(name), DataCentreId.of(dataCentre), hosts.isEmpty(), workerLease);
@@ -146,7 +160,7 @@
                     operators,
                     new SimpleMeterRegistry(),
                     timer,
-                    pool));
+                    FakeCluster.this::executeOnPool));
             operators.start();
             workers.start();
             closer.register(this::kill);
--- a/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/tasks/TasksPartTests.java
+++ b/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/tasks/TasksPartTests.java
@@ -61,6 +61,17 @@
         assertThat(one.starts.size() + two.starts.size()).isEqualTo(6);
     }
 
+    @Test
+    void schedulesAgainAfterThePoolWasFull() {
+        cluster.setPoolFull(true);
+        pause(500);
+        cluster.setPoolFull(false);
+        worker("w1");
+        cluster.apply(JOB);
+
+        await("the job completes", () -> jobState("nightly").equals("completed"));
+    }
+
     @Test
     void reportsAJobThatFitsNoWorkerAndRunsTheNextJob() {
         worker("w1");
