Stop the replica when its thread meets an error

A thread of the replica that ended because of an Error, for example a stack that is too small, left the process up: the failure was never reported, open requests were never completed, and the host kept naming itself as the leader.

errorOnTheThreadOfTheReplicaStopsTheReplicaAndIsReported failed with a timeout of 20 s and passes now that errors are handled like other failures.

--- a/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/replica/ReplicaLoop.java
+++ b/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/replica/ReplicaLoop.java
@@ -144,7 +144,7 @@
             }
         } catch (WaxwingheadException e) {
             fail(e);
-        } catch (RuntimeException | InterruptedException e) {
+        } catch (RuntimeException | InterruptedException | Error e) {
             fail(WaxwingheadException.from(e));
         }
         running = false;
--- a/waxwinghead-coordination/src/test/java/dev/waxwinghead/coordination/replica/FaultyStorage.java
+++ b/waxwinghead-coordination/src/test/java/dev/waxwinghead/coordination/replica/FaultyStorage.java
@@ -15,6 +15,7 @@
     private final ReplicaStorage storage;
     private volatile CountDownLatch syncGate = new CountDownLatch(0);
     private volatile boolean failingSyncs;
+    private volatile Error syncError;
 
     FaultyStorage(ReplicaStorage storage) {
         this.storage = storage;
@@ -32,6 +33,10 @@
         failingSyncs = true;
     }
 
+    void failSyncsWith(Error error) {
+        syncError = error;
+    }
+
     @Override
     public ReplicaId replicaId() {
         return storage.replicaId();
@@ -67,6 +72,9 @@
         if (failingSyncs) {
             throw WaxwingheadException.of(ErrorKind.STORAGE, "sync of segment-1 failed", "replace the disk");
         }
+        if (syncError != null) {
+            throw syncError;
+        }
         storage.sync();
     }
 
--- a/waxwinghead-coordination/src/test/java/dev/waxwinghead/coordination/replica/ReplicaNodeTests.java
+++ b/waxwinghead-coordination/src/test/java/dev/waxwinghead/coordination/replica/ReplicaNodeTests.java
@@ -293,6 +293,19 @@
             cluster.close();
         }
 
+        @Test
+        void errorOnTheThreadOfTheReplicaStopsTheReplicaAndIsReported() {
+            try (TestCluster cluster = TestCluster.start(3, 0, 1000)) {
+                Host leader = cluster.leader();
+                proposeChanges(leader, 1);
+                leader.faultyStorage().failSyncsWith(new StackOverflowError("out of stack"));
+                CompletableFuture<byte[]> lost = leader.propose("lost", REQUEST_TIMEOUT);
+                assertThat(awaitFailure(leader).kind()).isEqualTo(ErrorKind.INTERNAL);
+                assertThat(failureKind(lost)).isEqualTo(ErrorKind.UNKNOWN_OUTCOME);
+                awaitSuccessor(cluster, leader).propose("accepted").join();
+            }
+        }
+
         @Test
         void stateMachineFailureStopsTheReplica() {
             try (TestCluster cluster = TestCluster.start(1, 0, 1000)) {
