Report a job that is given up once

Two tasks of a job that share a worker reach the third crash together, and the job was logged and counted as given up twice.

Evidence: areReportedOncePerJobWhenTheyAreGivenUp, with the reason "restarted" of each loss; it was written together with the change and not run without it.

--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/JobState.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/JobState.java
@@ -12,7 +12,7 @@
     RUNNING(2, false),
     /** All tasks have completed. */
     DONE(3, true),
-    /** A task has failed as often as the job's class allows. */
+    /** A task has failed as often as the job's class allows, or has repeatedly crashed the workers that started it. */
     FAILED(4, true),
     /** The caller canceled the job. */
     CANCELED(5, true);
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TransitionPlanner.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TransitionPlanner.java
@@ -26,6 +26,7 @@
 
     private final SchedulerState state;
     private final Map<JobId, Long> endedNanos = new HashMap<>();
+    private final Set<JobId> givenUp = new HashSet<>();
     private long takenOverNanos;
 
     TransitionPlanner(SchedulerState state) {
@@ -82,6 +83,7 @@
     }
 
     private void planLosses(List<JobTransition> plan, long now) {
+        givenUp.clear();
         for (WorkerIncarnation incarnation : List.copyOf(state.table().busyWorkers())) {
             Optional<WorkerEntry> entry = state.workers().find(incarnation);
             if (lost(incarnation, entry, now)) {
@@ -130,7 +132,7 @@
         JobRecord job = state.table().find(run.task().job()).orElseThrow();
         int crashes = job.task(run.task()).crashes() + 1;
         state.events().workerCrashed(run, incarnation, crashes);
-        if (crashes >= JobTable.MAX_CRASHES && !job.state().ended()) {
+        if (crashes >= JobTable.MAX_CRASHES && !job.state().ended() && givenUp.add(job.id())) {
             state.events().givenUp(run.task(), crashes);
         }
     }
--- a/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobSchedulerTests.java
+++ b/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobSchedulerTests.java
@@ -26,7 +26,9 @@
 
     private final JobTable table = JobTable.create();
     private final List<String> stops = new ArrayList<>();
-    private JobScheduler scheduler = JobScheduler.of(table, TIMES, new RecordedEvents(stops));
+    private final List<String> losses = new ArrayList<>();
+    private final List<TaskKey> givenUp = new ArrayList<>();
+    private JobScheduler scheduler = JobScheduler.of(table, TIMES, new RecordedEvents(stops, losses, givenUp));
     private long index;
     private long now = TimeUnit.SECONDS.toNanos(1000);
     private long sequence;
@@ -358,6 +360,14 @@
             assertThat(state("j1")).isEqualTo(JobState.FAILED);
         }
 
+        @Test
+        void areReportedOncePerJobWhenTheyAreGivenUp() {
+            accept("j1", JobFixtures.step(2, List.of()));
+            crashWorkers(3);
+            assertThat(givenUp).hasSize(1);
+            assertThat(losses).containsExactly("restarted", "restarted", "restarted");
+        }
+
         @Test
         void areGivenUpEvenIfTheyAreLasting() {
             accept("s1", JobFixtures.step(1, List.of(), true, false, 100));
@@ -369,7 +379,7 @@
         void areGivenUpAfterCrashesThatSeveralSchedulersSaw() {
             accept("j1", JobFixtures.step(1, List.of()));
             crashWorkers(2);
-            scheduler = JobScheduler.of(table, TIMES, new RecordedEvents(stops));
+            scheduler = JobScheduler.of(table, TIMES, new RecordedEvents(stops, losses, givenUp));
             table.apply(++index, new JobCommand.Acquire(HostId.of("h2")));
             scheduler.takeOver(now);
             crashWorkers(1);
@@ -602,13 +612,16 @@
         return new EndedRun(number, JobFixtures.run(job, 0, task, attempt), end, "");
     }
 
-    /** Records the reasons for which runs were stopped. */
-    private record RecordedEvents(List<String> stops) implements SchedulerListener {
+    /** Records the reasons for which runs were stopped and workers were lost, and the tasks given up. */
+    private record RecordedEvents(List<String> stops, List<String> losses, List<TaskKey> givenUp)
+            implements SchedulerListener {
         @Override
         public void workerSeen(WorkerReport report) {}
 
         @Override
-        public void workerGone(WorkerIncarnation incarnation, String reason) {}
+        public void workerGone(WorkerIncarnation incarnation, String reason) {
+            losses.add(reason);
+        }
 
         @Override
         public void reportIgnored(WorkerReport report) {}
@@ -628,7 +641,9 @@
         public void workerCrashed(RunKey run, WorkerIncarnation worker, int crashes) {}
 
         @Override
-        public void givenUp(TaskKey task, int crashes) {}
+        public void givenUp(TaskKey task, int crashes) {
+            givenUp.add(task);
+        }
 
         @Override
         public void waiting(JobRecord job, int step, WaitReason reason) {}
