Replace a voter that answers but stores nothing

A host whose disk is full restarts at each write.

The leader now measures from the last time that a member stored entries, as long as it lacks committed ones. voterThatAnswersButStoresNothingIsReplaced failed before (r3 kept its vote) and passes; votersThatStoreEntriesAfterAnIdleTimeKeepTheirVotes passes before and after.

--- a/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/consensus/Leadership.java
+++ b/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/consensus/Leadership.java
@@ -82,10 +82,17 @@
                 && progress.matchIndex + state.settings.promotionLag() >= state.commitIndex;
     }
 
-    /** Returns the time since the last message from a member, in nanoseconds. */
-    long silenceNanos(ReplicaId replica) {
+    /**
+     * Returns the time since a member last answered or, if it lacks committed entries, since it last stored entries, in
+     * nanoseconds. A member may answer without storing anything, for example if it restarts at each write.
+     */
+    long unresponsiveNanos(ReplicaId replica) {
         Progress progress = progressByReplica.get(replica);
-        return progress == null ? 0 : state.now - progress.lastHeard;
+        if (progress == null) {
+            return 0;
+        }
+        boolean lagging = progress.matchIndex < state.commitIndex;
+        return state.now - (lagging ? Math.min(progress.lastHeard, progress.lastStored) : progress.lastHeard);
     }
 
     /** Sends the entries, read confirmations and commit index that became due since the last call. */
@@ -118,7 +125,7 @@
             return;
         }
         if (response.accepted()) {
-            progress.recordMatch(Math.min(response.index(), state.log.lastIndex()));
+            progress.recordMatch(Math.min(response.index(), state.log.lastIndex()), state.now);
             advanceCommitIndex();
         } else {
             progress.recordRefusal(response.previousIndex(), response.index());
@@ -134,6 +141,7 @@
                         .isPresent();
         if (current && response.nextOffset() != progress.snapshotOffset) {
             progress.snapshotOffset = response.nextOffset();
+            progress.lastStored = state.now;
             replication.sendChunk(progress, reads.round());
         }
     }
@@ -183,6 +191,9 @@
     private void advanceCommitIndex() {
         long index = majorityValue(state.log.persistedIndex(), p -> p.matchIndex);
         if (index > state.commitIndex && state.log.term(index) == state.term()) {
+            progressByReplica.values().stream()
+                    .filter(progress -> progress.matchIndex >= state.commitIndex)
+                    .forEach(progress -> progress.lastStored = state.now);
             state.commitIndex = index;
             stepDownIfRemoved();
         }
--- a/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/consensus/MembershipChanges.java
+++ b/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/consensus/MembershipChanges.java
@@ -9,14 +9,14 @@
 
 /** Changes the membership of the group, one member at a time. */
 final class MembershipChanges {
-    /** The silence after which a voter may be replaced by another member; longer than an election takes. */
-    private static final long VOTER_MAX_SILENCE_NANOS = TimeUnit.SECONDS.toNanos(3);
+    /** The time without a response after which a voter may be replaced; longer than an election takes. */
+    private static final long VOTER_MAX_UNRESPONSIVE_NANOS = TimeUnit.SECONDS.toNanos(3);
 
-    /** The silence after which a learner is removed from the group. */
-    private static final long LEARNER_MAX_SILENCE_NANOS = TimeUnit.SECONDS.toNanos(60);
+    /** The time without a response after which a learner is removed from the group. */
+    private static final long LEARNER_MAX_UNRESPONSIVE_NANOS = TimeUnit.SECONDS.toNanos(60);
 
-    /** The maximum silence of a learner that is to become a voter; a few heartbeat intervals. */
-    private static final long PROMOTION_MAX_SILENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(800);
+    /** The longest time without a response of a learner that is to become a voter; a few heartbeat intervals. */
+    private static final long PROMOTION_MAX_UNRESPONSIVE_NANOS = TimeUnit.MILLISECONDS.toNanos(800);
 
     private final CoreState state;
     private final Leadership leadership;
@@ -65,36 +65,36 @@
 
     /**
      * Proposes at most one change of the voters or learners. A caught-up learner becomes a voter if there are fewer
-     * voters than the target, or as many and one of them is silent. A voter, a silent one first, becomes a learner if
-     * there are more voters than the target. If neither applies, a learner that stays silent is removed; the removed
-     * learner may rejoin.
+     * voters than the target, or as many and one of them is unresponsive. A voter, an unresponsive one first, becomes a
+     * learner if there are more voters than the target. If neither applies, a learner that stays unresponsive is
+     * removed; the removed learner may rejoin.
      */
     void balanceVoters(int target) {
         if (!state.isLeader() || !isLastChangeCommitted()) {
             return;
         }
         Membership membership = state.membership();
-        Optional<Member> silentVoter = membership.voters().stream()
-                .filter(voter -> isSilent(voter, VOTER_MAX_SILENCE_NANOS))
+        Optional<Member> unresponsiveVoter = membership.voters().stream()
+                .filter(voter -> isUnresponsive(voter, VOTER_MAX_UNRESPONSIVE_NANOS))
                 .findFirst();
         Optional<Member> promotable = membership.members().stream()
                 .filter(member -> !member.voter() && isPromotable(member))
                 .findFirst();
         int voters = membership.voters().size();
-        if (promotable.isPresent() && (voters < target || (voters == target && silentVoter.isPresent()))) {
+        if (promotable.isPresent() && (voters < target || (voters == target && unresponsiveVoter.isPresent()))) {
             propose(membership.withMember(promotable.get().withVote()));
         } else if (voters > target) {
-            silentVoter
+            unresponsiveVoter
                     .or(() -> lastVoterExceptSelf(membership.voters()))
                     .ifPresent(voter -> propose(membership.withMember(voter.withoutVote())));
         } else {
-            removeSilentLearner(membership);
+            removeUnresponsiveLearner(membership);
         }
     }
 
-    private void removeSilentLearner(Membership membership) {
+    private void removeUnresponsiveLearner(Membership membership) {
         membership.members().stream()
-                .filter(member -> !member.voter() && isSilent(member, LEARNER_MAX_SILENCE_NANOS))
+                .filter(member -> !member.voter() && isUnresponsive(member, LEARNER_MAX_UNRESPONSIVE_NANOS))
                 .findFirst()
                 .ifPresent(member -> propose(membership.withoutMember(member.replica())));
     }
@@ -105,13 +105,13 @@
                 .reduce((first, second) -> second);
     }
 
-    private boolean isSilent(Member member, long maxSilenceNanos) {
-        return !member.replica().equals(state.self) && leadership.silenceNanos(member.replica()) > maxSilenceNanos;
+    private boolean isUnresponsive(Member member, long maxNanos) {
+        return !member.replica().equals(state.self) && leadership.unresponsiveNanos(member.replica()) > maxNanos;
     }
 
     private boolean isPromotable(Member member) {
         return leadership.isCaughtUp(member.replica())
-                && leadership.silenceNanos(member.replica()) < PROMOTION_MAX_SILENCE_NANOS;
+                && leadership.unresponsiveNanos(member.replica()) < PROMOTION_MAX_UNRESPONSIVE_NANOS;
     }
 
     /** Returns whether the last membership change is committed, so that the next change may start. */
--- a/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/consensus/Progress.java
+++ b/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/consensus/Progress.java
@@ -14,6 +14,8 @@
     long nextIndex;
     long readRound;
     long lastHeard;
+    /** When the member last stored entries or had all committed ones. */
+    long lastStored;
     /** The commit index that was last sent to the member. */
     long announcedCommit;
     /** Whether a probe was sent and not answered yet. */
@@ -29,6 +31,7 @@
         this.member = member;
         this.nextIndex = nextIndex;
         this.lastHeard = now;
+        this.lastStored = now;
     }
 
     /** Enumerates the ways to bring a member up to date. */
@@ -54,8 +57,11 @@
         }
     }
 
-    void recordMatch(long index) {
-        matchIndex = Math.max(matchIndex, index);
+    void recordMatch(long index, long now) {
+        if (index > matchIndex) {
+            matchIndex = index;
+            lastStored = now;
+        }
         nextIndex = Math.max(nextIndex, matchIndex + 1);
         awaitingProbeResponse = false;
         while (!inflight.isEmpty() && inflight.peek() <= matchIndex) {
--- a/waxwinghead-coordination/src/test/java/dev/waxwinghead/coordination/consensus/ReplicaCoreTests.java
+++ b/waxwinghead-coordination/src/test/java/dev/waxwinghead/coordination/consensus/ReplicaCoreTests.java
@@ -12,9 +12,13 @@
 import dev.waxwinghead.model.id.ReplicaId;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.OptionalLong;
 import java.util.Random;
+import java.util.Set;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import org.junit.jupiter.api.Test;
@@ -128,6 +132,35 @@
         assertThat(first.membership().isVoter(R1)).isTrue();
     }
 
+    @Test
+    void voterThatAnswersButStoresNothingIsReplaced() {
+        Group group = new Group(List.of("r1", "r2", "r3"));
+        group.addLearner("r4");
+        group.dropEntriesTo("r3");
+        for (int i = 0; i < 50; i++) {
+            group.leader().propose(new byte[1]);
+            group.advanceTime(Duration.ofMillis(100));
+            group.leader().balanceVoters(3);
+        }
+        assertThat(group.voters()).containsExactly("r1", "r2", "r4");
+    }
+
+    @Test
+    void votersThatStoreEntriesAfterAnIdleTimeKeepTheirVotes() {
+        Group group = new Group(List.of("r1", "r2", "r3"));
+        group.addLearner("r4");
+        for (int i = 0; i < 3; i++) {
+            for (int idle = 0; idle < 50; idle++) {
+                group.advanceTime(Duration.ofMillis(100));
+                group.leader().balanceVoters(3);
+            }
+            group.leader().propose(new byte[1]);
+            group.leader().balanceVoters(3);
+            group.advanceTime(Duration.ofMillis(100));
+        }
+        assertThat(group.voters()).containsExactly("r1", "r2", "r3");
+    }
+
     @Test
     void resignationOfAReplicaThatDoesNotLeadIsIgnored() {
         electFirst();
@@ -185,4 +218,67 @@
         return ReplicaCore.create(
                 SETTINGS, replica, MemoryStorage.create(replica).recovered(), new Random(1), 0);
     }
+
+    /** A group whose first replica leads; messages arrive at once. */
+    private static final class Group {
+        private final Map<ReplicaId, ReplicaCore> cores = new LinkedHashMap<>();
+        private final Set<ReplicaId> withoutEntries = new HashSet<>();
+        private long now;
+
+        Group(List<String> voters) {
+            voters.forEach(voter -> cores.put(ReplicaId.of(voter), createCore(ReplicaId.of(voter))));
+            leader().formGroup(
+                            7, voters.stream().map(voter -> member(voter, true)).toList());
+            advanceTime(Duration.ofNanos(1));
+            assertThat(leader().isLeader()).isTrue();
+        }
+
+        ReplicaCore leader() {
+            return cores.values().iterator().next();
+        }
+
+        void addLearner(String learner) {
+            cores.put(ReplicaId.of(learner), createCore(ReplicaId.of(learner)));
+            leader().join(member(learner, false));
+            exchangeMessages();
+        }
+
+        /** Drops the messages with entries to a replica, which then answers as one that restarts instead of storing. */
+        void dropEntriesTo(String replica) {
+            withoutEntries.add(ReplicaId.of(replica));
+        }
+
+        void advanceTime(Duration time) {
+            now += time.toNanos();
+            cores.values().forEach(core -> core.tick(now));
+            exchangeMessages();
+        }
+
+        List<String> voters() {
+            return leader().membership().voters().stream()
+                    .map(voter -> voter.replica().value())
+                    .toList();
+        }
+
+        private void exchangeMessages() {
+            for (int i = 0; i < 10; i++) {
+                cores.forEach(
+                        (from, core) -> processReady(core).forEach(outbound -> deliver(from, outbound.message())));
+            }
+        }
+
+        private void deliver(ReplicaId from, Message message) {
+            ReplicaId to = message.header().to();
+            boolean dropped = withoutEntries.contains(to)
+                    && message instanceof Message.AppendRequest request
+                    && !request.entries().isEmpty();
+            if (!dropped && cores.containsKey(to)) {
+                cores.get(to).receive(HostId.of("host-" + from.value()), message);
+            }
+        }
+
+        private static Member member(String replica, boolean voter) {
+            return new Member(HostId.of("host-" + replica), ReplicaId.of(replica), replica + ":1", voter);
+        }
+    }
 }
