Name the ways in which a process ends, and drop no cause of a failure

The class that halts a process is used at each regular end too, so it is called ProcessExit now. Its halt happens even if the log lines before it fail.

--- a/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/replica/ReplicaLoop.java
+++ b/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/replica/ReplicaLoop.java
@@ -259,6 +259,8 @@
         if (cause.compareAndSet(null, reason)) {
             LOG.errorf(reason, "replica on %s stops", settings.host());
             new Thread(() -> failure.complete(reason), "waxwinghead-failure-" + settings.host()).start();
+        } else {
+            LOG.errorf(reason, "replica on %s failed again while it stops", settings.host());
         }
     }
 
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/part/ShutdownWatchdog.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/part/ProcessExit.java
@@ -11,21 +11,22 @@
  * Ends the process if its shutdown takes too long, for example because a disk hangs, after logging what its threads
  * wait for. A process that neither works nor exits would not be started anew.
  */
-public final class ShutdownWatchdog {
+public final class ProcessExit {
     private static final int MAX_FRAMES = 16;
 
     /** How long the last log lines may take; a reader of standard output that has stopped reading takes forever. */
     private static final Duration LOG_LIMIT = Duration.ofMillis(500);
 
-    private ShutdownWatchdog() {}
+    private ProcessExit() {}
 
     /**
-     * Starts to watch a shutdown. Call this once the remaining steps are expected to take less than the limit.
+     * Halts the process after a time limit unless it has ended before, and logs what its threads wait for. Call this
+     * after draining, before resources are closed.
      *
-     * @param limit the time after which the process is halted
+     * @param limit the time limit
      * @param exitStatus the exit status of the process
      */
-    public static void start(Duration limit, int exitStatus) {
+    public static void haltAfter(Duration limit, int exitStatus) {
         Thread thread = new Thread(() -> watch(limit, exitStatus), "shutdown-watchdog");
         thread.setDaemon(true);
         thread.start();
@@ -38,13 +39,16 @@
             Event.of("shutdown-not-watched").with("failure", e).write();
             return;
         }
-        Event.of("shutdown-overdue").with("limitMillis", limit.toMillis()).write();
-        Thread.getAllStackTraces().forEach(ShutdownWatchdog::logIfAwaited);
-        halt(exitStatus);
+        try {
+            Event.of("shutdown-overdue").with("limitMillis", limit.toMillis()).write();
+            Thread.getAllStackTraces().forEach(ProcessExit::logIfAwaited);
+        } finally {
+            halt(exitStatus);
+        }
     }
 
     /**
-     * Ends the process without running shutdown hooks, once its log lines are written.
+     * Halts the process once its log lines are written.
      *
      * @param exitStatus the exit status of the process
      */
--- a/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/part/ShutdownWatchdogTests.java
+++ b/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/part/ProcessExitTests.java
@@ -10,7 +10,7 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 
-class ShutdownWatchdogTests {
+class ProcessExitTests {
     private static final int EXIT_STATUS = 9;
 
     @Test
@@ -43,7 +43,7 @@
         }
 
         private static void closeForever() {
-            ShutdownWatchdog.start(Duration.ofMillis(100), EXIT_STATUS);
+            ProcessExit.haltAfter(Duration.ofMillis(100), EXIT_STATUS);
             try {
                 new CountDownLatch(1).await();
             } catch (InterruptedException e) {
