Do not make up for missed runs of periodic tasks

Four parts of the daemon moved from a fixed delay to PeriodicTask, which ran at a fixed rate: after a pause of the process all missed runs would follow in a burst. PeriodicTask waits the interval after each run now. Read in the code by the review, not seen in a run.

--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/part/PeriodicTask.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/part/PeriodicTask.java
@@ -19,7 +19,7 @@
      * Starts running an action periodically.
      *
      * @param timer the executor that runs the action
-     * @param intervalMillis the time before the first run and between the starts of two runs, in milliseconds
+     * @param intervalMillis the time before the first run and between two runs, in milliseconds
      * @param name the name of the action in log lines
      * @param action the action; must not block
      * @return the running task, never null
@@ -33,7 +33,7 @@
      * Starts running an action periodically, for the first time at once.
      *
      * @param timer the executor that runs the action
-     * @param intervalMillis the time between the starts of two runs, in milliseconds
+     * @param intervalMillis the time between two runs, in milliseconds
      * @param name the name of the action in log lines
      * @param action the action; must not block
      * @return the running task, never null
@@ -45,7 +45,7 @@
 
     private static PeriodicTask start(
             ScheduledExecutorService timer, long delayMillis, long intervalMillis, String name, Runnable action) {
-        return new PeriodicTask(timer.scheduleAtFixedRate(
+        return new PeriodicTask(timer.scheduleWithFixedDelay(
                 () -> runLogged(name, action), delayMillis, intervalMillis, TimeUnit.MILLISECONDS));
     }
 
