Keep the sync mark when an opening fails on a full disk

A storage whose opening failed because the disk was full treated damage to the last synced records as a torn tail at the next opening: a synced entry or vote was dropped without an error, where the opening should have failed as damaged. A host on a full disk is started again and again, so the path is common.

Cause: an opening truncated the file of the mark and then wrote it; when the write failed, the file stayed empty. The mark is now opened at its full length, which leaves both slots in place, and the generation continues from the newest valid slot, so that the first write overwrites the older one. The format, the number of writes and the number of syncs are unchanged.

Ruled out: replacing the mark with a new file and a rename, which takes space on the full disk and adds a sync or a case of power failure; a further method of FileOperations, as openAt with the length of both slots does not truncate.

Evidence: keepTheSyncMarkWhenTheDiskIsFullDuringOpening. Before: 1 of the 19 tests of FileReplicaStorageTests failed, this one, "Expected WaxwingheadException to be thrown, but nothing was thrown". After: 19 pass. It also fails when only one half of the change is made (file truncated, generation kept; file kept, generation from 0).

Trial: a folder written by the code before this change opens, its mark is read (a flipped byte of the last record is refused as damaged), and the code before this change opens the folder that the new code has written. Not run: a file system that is really full.

--- a/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/journal/FileOperations.java
+++ b/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/journal/FileOperations.java
@@ -16,7 +16,7 @@
     /** Creates an empty file, replacing any existing file of that name. */
     WritableFile create(Path file) throws IOException;
 
-    /** Opens a file for writing at the given offset and truncates the file there. */
+    /** Opens a file for writing at the given offset and truncates the file there, or extends it with zeros. */
     WritableFile openAt(Path file, long offset) throws IOException;
 
     /** Renames a file atomically, replacing any existing file of the new name. */
--- a/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/journal/FileReplicaStorage.java
+++ b/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/journal/FileReplicaStorage.java
@@ -88,7 +88,7 @@
         segments = new ArrayList<>(recovery.segments());
         snapshotIndex = recovery.snapshot().map(Snapshot::lastIndex).orElse(0L);
         openNewestSegment(recovery);
-        syncMark = closer.register(SyncMark.create(operations, folder));
+        syncMark = closer.register(SyncMark.open(operations, folder));
         syncMark.write(writer.sequence(), writer.offset());
         boolean obsolete = recovery.entriesAreObsolete();
         List<LogEntry> entries = obsolete ? List.of() : recovery.entriesAfterSnapshot();
--- a/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/journal/SyncMark.java
+++ b/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/journal/SyncMark.java
@@ -23,13 +23,17 @@
     private final FileOperations.WritableFile output;
     private long generation;
 
-    private SyncMark(FileOperations.WritableFile output) {
+    private SyncMark(FileOperations.WritableFile output, long generation) {
         this.output = output;
+        this.generation = generation;
     }
 
-    /** Creates an empty mark, replacing any existing mark of the folder. */
-    static SyncMark create(FileOperations operations, Path folder) throws IOException {
-        return new SyncMark(operations.create(folder.resolve(FILE_NAME)));
+    /** Opens the mark of the folder, creating it if it is missing; the newest valid slot is kept by the next write. */
+    static SyncMark open(FileOperations operations, Path folder) throws IOException {
+        long generation = read(operations, folder, operations.list(folder))
+                .map(Position::generation)
+                .orElse(0L);
+        return new SyncMark(operations.openAt(folder.resolve(FILE_NAME), SLOT_COUNT * SLOT_BYTES), generation);
     }
 
     /** Returns the position of the newest valid slot, empty if there is none. */
--- a/waxwinghead-coordination/src/test/java/dev/waxwinghead/coordination/journal/FileReplicaStorageTests.java
+++ b/waxwinghead-coordination/src/test/java/dev/waxwinghead/coordination/journal/FileReplicaStorageTests.java
@@ -358,6 +358,39 @@
             assertThat(kept).containsAtLeastElementsIn(texts(entries(1, 1, 3))).inOrder();
             assertThat(texts(entries(1, 1, 9))).containsAtLeastElementsIn(kept).inOrder();
         }
+
+        @Test
+        void keepTheSyncMarkWhenTheDiskIsFullDuringOpening() throws IOException {
+            long last = 0;
+            for (int syncs = 1; syncs <= 4; syncs++) {
+                writeSynced(1 << 20, last + 1, last + syncs);
+                last += syncs;
+                for (int attempt = 0; attempt < 5; attempt++) {
+                    failOpeningAtTheSyncMark();
+                    refuseAFlippedLastByte();
+                }
+            }
+
+            assertThat(texts(reopen().entries())).isEqualTo(texts(entries(3, 1, last)));
+        }
+
+        private void failOpeningAtTheSyncMark() {
+            int operationsBeforeTheMark = 1;
+            files.failAfter(operationsBeforeTheMark);
+            WaxwingheadException failure = assertThrows(
+                    WaxwingheadException.class, () -> FileReplicaStorage.open(folder, CLUSTER, 1 << 20, files));
+            assertThat(failure).hasMessageThat().contains("No space left on device");
+        }
+
+        private void refuseAFlippedLastByte() throws IOException {
+            Path file = newestFile(SegmentHeader.FILE_NAME_PREFIX);
+            byte[] content = Files.readAllBytes(file);
+            byte[] flipped = content.clone();
+            flipped[flipped.length - 1] ^= 0x10;
+            Files.write(file, flipped);
+            assertThat(openExpectingFailure()).hasMessageThat().contains(file + " is damaged at byte");
+            Files.write(file, content);
+        }
     }
 
     @Test
