Forget crashes under a task once a run of it has outlived its start

A lasting task kept the count of crashes for its whole life, since only runs that complete or fail cleared it. Three crashes of workers without such a cause, each within 2 s of a start of the same task and possibly hours apart, would have failed a job that served its users.

A run whose worker is lost after it had been listed for 2 s ends as LOST_AFTER_START now, which clears the count. areNoLongerSuspectedAfterARunThatOutlivedItsStart failed before (FAILED in place of RUNNING) and passes.

--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/RunEnd.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/RunEnd.java
@@ -17,7 +17,14 @@
      *
      * @since 0.3
      */
-    WORKER_CRASHED(4);
+    WORKER_CRASHED(4),
+    /**
+     * The worker was lost after the run had been up for a while, which shows that the start of the task crashes no
+     * workers; the task may start again.
+     *
+     * @since 0.3
+     */
+    LOST_AFTER_START(5);
 
     private final int code;
 
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TaskRecord.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TaskRecord.java
@@ -43,7 +43,7 @@
     }
 
     /**
-     * Returns the number of workers that crashed under the task since a run last completed or failed.
+     * Returns the number of workers that crashed under the task since a run last outlived its start.
      *
      * @return the number of workers, 0 or more
      * @since 0.3
@@ -55,7 +55,7 @@
     /**
      * Returns whether the task may be one that crashes its workers.
      *
-     * @return true if a worker has crashed under the task since a run last completed or failed
+     * @return true if a worker has crashed under the task since a run last outlived its start
      * @since 0.3
      */
     public boolean suspect() {
@@ -99,6 +99,8 @@
             crashes = 0;
         } else if (end == RunEnd.WORKER_CRASHED) {
             crashes++;
+        } else if (end == RunEnd.LOST_AFTER_START) {
+            crashes = 0;
         }
         if (!saved.isEmpty()) {
             checkpoint = saved;
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TransitionPlanner.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TransitionPlanner.java
@@ -116,11 +116,9 @@
         for (RunKey run : state.table().runsOn(incarnation)) {
             boolean ending = entry.isPresent() && entry.get().ends().containsKey(run);
             if (!ending && plan.size() < MAX_TRANSITIONS) {
-                boolean crashed =
-                        entry.filter(known -> known.mayHaveCrashedUnder(run)).isPresent();
-                RunEnd end = crashed ? RunEnd.WORKER_CRASHED : RunEnd.INTERRUPTED;
+                RunEnd end = entry.map(known -> known.endOnLoss(run)).orElse(RunEnd.INTERRUPTED);
                 plan.add(new JobTransition.Ended(run, end, lastCheckpoint(entry, run)));
-                if (crashed) {
+                if (end == RunEnd.WORKER_CRASHED) {
                     recordCrash(run, incarnation);
                 }
                 state.health().endedInconclusively(incarnation.worker());
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/WorkerEntry.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/WorkerEntry.java
@@ -91,9 +91,12 @@
         return sent;
     }
 
-    /** Returns whether the worker may have crashed because of the start of a run. */
-    boolean mayHaveCrashedUnder(RunKey run) {
-        return crashed && sent.contains(run) && !hasSurvivedStart(run);
+    /** Returns how a run without a reported end ends once the worker is lost. */
+    RunEnd endOnLoss(RunKey run) {
+        if (hasSurvivedStart(run)) {
+            return RunEnd.LOST_AFTER_START;
+        }
+        return crashed && sent.contains(run) ? RunEnd.WORKER_CRASHED : RunEnd.INTERRUPTED;
     }
 
     /** Returns the reported ends that are not yet applied to the table. */
--- a/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobSchedulerTests.java
+++ b/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobSchedulerTests.java
@@ -446,6 +446,21 @@
             assertThat(state("j1")).isEqualTo(JobState.RUNNING);
         }
 
+        @Test
+        void areNoLongerSuspectedAfterARunThatOutlivedItsStart() {
+            accept("s1", JobFixtures.step(1, List.of(), true, false, 100));
+            crashWorkers(2);
+            start();
+            report(false, List.of(running("s1", 0, 3, 1)), List.of());
+            now += TimeUnit.MILLISECONDS.toNanos(2100);
+            report(false, List.of(running("s1", 0, 3, 2)), List.of());
+            restart();
+            crashWorkers(2);
+            assertThat(state("s1")).isEqualTo(JobState.RUNNING);
+            crashWorkers(1);
+            assertThat(state("s1")).isEqualTo(JobState.FAILED);
+        }
+
         @Test
         void areNotSuspectedIfTheirStartWasNeverSent() {
             accept("j1", JobFixtures.step(1, List.of()));
