--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/part/ProcessExit.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/part/ProcessExit.java
@@ -8,8 +8,10 @@
 import java.util.stream.Collectors;
 
 /**
- * Ends the process if its shutdown takes too long, for example because a disk hangs, after logging what its threads
- * wait for. A process that neither works nor exits would not be started anew.
+ * Ends the process without running further shutdown hooks.
+ *
+ * <p>A process that neither works nor exits would not be started anew. Therefore a shutdown has a time limit, after
+ * which the process ends although resources are still being closed, for example because a disk hangs.
  */
 public final class ProcessExit {
     private static final int MAX_FRAMES = 16;
