Give back what a gang without a place was assigned

Cause: StartPlan.addGang deducted each placed member from the capacity of the round and returned without giving it back when a member found no place. So the gang took all capacity that its members fit into from each round; members under which a worker had crashed also kept suspects of other jobs away.

Ruled out: the order of jobs, and workers that fail or are late; the test has neither. Nothing could be told from the logs, since a waiting gang was not logged: its wait is recorded with its reason now.

Tests: on the code before, 3 of 45 in JobSchedulerTests failed (leaveTheirCapacityToTheJobsBehindThem: 0 of 4 tasks started; areReportedAsWaiting; startBesideAGangOfSuspectsWithoutAPlace).

--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/RankedWorkers.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/RankedWorkers.java
@@ -26,6 +26,8 @@
     private final Predicate<WorkerCapacity> eligible;
     private final ToDoubleFunction<WorkerCapacity> score;
     private final Consumer<WorkerCapacity> allocate;
+    private final Consumer<WorkerCapacity> release;
+    private final List<Runnable> releases = new ArrayList<>();
     private final PriorityQueue<Ranked> ranking = new PriorityQueue<>(ORDER);
     private boolean ranked;
 
@@ -33,11 +35,13 @@
             List<WorkerCapacity> workers,
             Predicate<WorkerCapacity> eligible,
             ToDoubleFunction<WorkerCapacity> score,
-            Consumer<WorkerCapacity> allocate) {
+            Consumer<WorkerCapacity> allocate,
+            Consumer<WorkerCapacity> release) {
         this.workers = workers;
         this.eligible = eligible;
         this.score = score;
         this.allocate = allocate;
+        this.release = release;
     }
 
     /**
@@ -59,10 +63,19 @@
      */
     Optional<WorkerEntry> placeSuspect(JobId job, Set<WorkerId> avoid) {
         Optional<WorkerCapacity> chosen = place(avoid, worker -> worker.acceptsSuspectOf(job));
-        chosen.ifPresent(worker -> worker.addSuspectOf(job));
+        chosen.ifPresent(worker -> {
+            worker.addSuspectOf(job);
+            releases.add(() -> worker.removeSuspectOf(job));
+        });
         return chosen.map(WorkerCapacity::entry);
     }
 
+    /** Gives back the capacity of all tasks that were placed: none of them is started. Ends the use of this ranking. */
+    void releaseAll() {
+        releases.forEach(Runnable::run);
+        releases.clear();
+    }
+
     private Optional<WorkerCapacity> place(Set<WorkerId> avoid, Predicate<WorkerCapacity> suits) {
         rankAll();
         List<Ranked> unsuited = new ArrayList<>();
@@ -88,6 +101,7 @@
         ranking.addAll(unsuited);
         best.ifPresent(chosen -> {
             allocate.accept(chosen.worker);
+            releases.add(() -> release.accept(chosen.worker));
             ranking.add(new Ranked(chosen.worker, score.applyAsDouble(chosen.worker), chosen.position));
         });
         return best.map(Ranked::worker);
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/StartPlan.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/StartPlan.java
@@ -120,7 +120,7 @@
         return last.task().job().equals(job.id());
     }
 
-    /** Starts all members of a gang or none: a worker reserves a member's capacity while it waits for the others. */
+    /** Starts all members of a gang or none; a gang without a place takes no capacity from the jobs behind it. */
     private void addGang(
             JobRecord job, int occurrence, int position, StepRecord step, Map<WorkerId, Integer> perWorker) {
         if (step.completed() || step.liveRuns() > 0) {
@@ -132,8 +132,11 @@
         List<WorkerEntry> workers = new ArrayList<>();
         for (int index = 0; index < step.tasks().size(); index++) {
             TaskKey key = new TaskKey(job.id(), occurrence, position, index);
-            Optional<WorkerEntry> worker = place(ranked, key, step.tasks().get(index));
+            TaskRecord task = step.tasks().get(index);
+            Optional<WorkerEntry> worker = place(ranked, key, task);
             if (worker.isEmpty()) {
+                recordWait(job, position, step, perWorker, task.suspect());
+                ranked.releaseAll();
                 return;
             }
             workers.add(worker.get());
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TaskPlacer.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TaskPlacer.java
@@ -72,7 +72,8 @@
                 candidates.getOrDefault(service, List.of()),
                 candidate -> obstacle(candidate, job, step, perWorker).isEmpty(),
                 candidate -> score(candidate, step),
-                candidate -> allocate(candidate, step, perWorker));
+                candidate -> allocate(candidate, step, perWorker),
+                candidate -> release(candidate, step, perWorker));
     }
 
     /**
@@ -115,6 +116,11 @@
         perWorker.merge(candidate.entry().id(), 1, Integer::sum);
     }
 
+    private static void release(WorkerCapacity candidate, JobStep step, Map<WorkerId, Integer> perWorker) {
+        candidate.release(step);
+        perWorker.merge(candidate.entry().id(), -1, Integer::sum);
+    }
+
     /**
      * Chooses the worker for a best-effort task of a job that has no running task although much of the service's
      * capacity is free: the worker whose serving tasks keep the most headroom, even if it is less than other tasks
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/WorkerCapacity.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/WorkerCapacity.java
@@ -4,10 +4,8 @@
 import dev.waxwinghead.model.resource.Resources;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 
 /** Tracks the free capacity of a worker within one scheduling round. */
 final class WorkerCapacity {
@@ -18,7 +16,7 @@
     private final List<InterferenceControl.ResidentTask> residents;
     private final Map<String, Integer> servingTasksByImage = new HashMap<>();
     private final List<JobStep> arriving = new ArrayList<>();
-    private final Set<JobId> jobsOfSuspects = new HashSet<>();
+    private final Map<JobId, Integer> suspectsByJob = new HashMap<>();
     private long freeMillicores;
     private long freeMemoryBytes;
     private long freeAccelerators;
@@ -77,31 +75,49 @@
 
     /** Deducts a task whose effect the worker's gauges show. */
     void allocateSettled(JobStep step) {
+        deduct(step, 1);
+    }
+
+    /** Gives back what {@link #allocate} deducted for a task that is not started. */
+    void release(JobStep step) {
+        deduct(step, -1);
+        if (step.bestEffort()) {
+            arriving.remove(step);
+        }
+    }
+
+    private void deduct(JobStep step, int tasks) {
         Resources need = step.need();
-        freeMemoryBytes -= need.memoryBytes();
-        freeAccelerators -= need.accelerators();
-        finiteTasks += step.lasting() ? 0 : 1;
+        freeMemoryBytes -= tasks * need.memoryBytes();
+        freeAccelerators -= tasks * need.accelerators();
+        finiteTasks += step.lasting() ? 0 : tasks;
+        long millicores = tasks * need.millicores();
         if (step.bestEffort()) {
-            unusedMillicores -= need.millicores();
+            unusedMillicores -= millicores;
             return;
         }
-        freeMillicores -= need.millicores();
-        finiteMillicores += step.lasting() ? 0 : need.millicores();
-        unusedMillicores -= step.serves() ? SERVING_UTILISATION * need.millicores() : need.millicores();
+        freeMillicores -= millicores;
+        finiteMillicores += step.lasting() ? 0 : millicores;
+        unusedMillicores -= step.serves() ? SERVING_UTILISATION * millicores : millicores;
         if (step.serves()) {
-            servingTasks++;
-            servingTasksByImage.merge(step.image(), 1, Integer::sum);
+            servingTasks += tasks;
+            servingTasksByImage.merge(step.image(), tasks, Integer::sum);
         }
     }
 
     /** Records that the worker runs a task of a job under which a worker crashed and that may crash this one, too. */
     void addSuspectOf(JobId job) {
-        jobsOfSuspects.add(job);
+        suspectsByJob.merge(job, 1, Integer::sum);
+    }
+
+    /** Reverses {@link #addSuspectOf} for a task that is not started. */
+    void removeSuspectOf(JobId job) {
+        suspectsByJob.computeIfPresent(job, (id, suspects) -> suspects == 1 ? null : suspects - 1);
     }
 
     /** Returns whether the worker runs no suspect of another job; those of one job fail together. */
     boolean acceptsSuspectOf(JobId job) {
-        return jobsOfSuspects.isEmpty() || (jobsOfSuspects.size() == 1 && jobsOfSuspects.contains(job));
+        return suspectsByJob.isEmpty() || (suspectsByJob.size() == 1 && suspectsByJob.containsKey(job));
     }
 
     /** Returns whether a task of a step would fit once all finite tasks on the worker have ended. */
--- a/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobFixtures.java
+++ b/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobFixtures.java
@@ -43,6 +43,26 @@
                 0);
     }
 
+    static JobStep gang(int count, long millicores) {
+        return new JobStep(
+                count,
+                Resources.of(millicores, 1000, 0),
+                1000,
+                List.of(),
+                true,
+                true,
+                false,
+                "",
+                "",
+                0,
+                false,
+                false,
+                "batch",
+                0,
+                false,
+                0);
+    }
+
     static JobCommand.Accept accept(String id, JobStep... steps) {
         return acceptAt(id, 0, steps);
     }
--- a/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobSchedulerTests.java
+++ b/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobSchedulerTests.java
@@ -28,7 +28,8 @@
     private final List<String> stops = new ArrayList<>();
     private final List<String> losses = new ArrayList<>();
     private final List<TaskKey> givenUp = new ArrayList<>();
-    private JobScheduler scheduler = JobScheduler.of(table, TIMES, new RecordedEvents(stops, losses, givenUp));
+    private final List<String> waits = new ArrayList<>();
+    private JobScheduler scheduler = JobScheduler.of(table, TIMES, new RecordedEvents(stops, losses, givenUp, waits));
     private long index;
     private long now = TimeUnit.SECONDS.toNanos(1000);
     private long sequence;
@@ -191,6 +192,35 @@
         }
     }
 
+    /** Guards against a gang without a place that keeps all jobs behind it waiting. */
+    @Nested
+    class GangsWithoutAPlace {
+        @Test
+        void leaveTheirCapacityToTheJobsBehindThem() {
+            accept("g1", JobFixtures.gang(5, 1000));
+            accept("j1", JobFixtures.step(4, List.of()));
+            startAll(W1);
+            assertThat(table.runsOn(W1)).hasSize(4);
+        }
+
+        @Test
+        void areReportedAsWaiting() {
+            accept("g1", JobFixtures.gang(5, 1000));
+            startAll(W1);
+            now += TimeUnit.SECONDS.toNanos(5);
+            startAll(W1);
+            assertThat(waits).contains("g1 NO_CAPACITY");
+        }
+
+        @Test
+        void startOnceAllTheirMembersFit() {
+            accept("g1", JobFixtures.gang(5, 1000));
+            startAll(W1);
+            startAll(W22);
+            assertThat(table.runsOn(W1).size() + table.runsOn(W22).size()).isEqualTo(5);
+        }
+    }
+
     @Nested
     class RestartingLastingTasks {
         @Test
@@ -379,7 +409,7 @@
         void areGivenUpAfterCrashesThatSeveralSchedulersSaw() {
             accept("j1", JobFixtures.step(1, List.of()));
             crashWorkers(2);
-            scheduler = JobScheduler.of(table, TIMES, new RecordedEvents(stops, losses, givenUp));
+            scheduler = JobScheduler.of(table, TIMES, new RecordedEvents(stops, losses, givenUp, waits));
             table.apply(++index, new JobCommand.Acquire(HostId.of("h2")));
             scheduler.takeOver(now);
             crashWorkers(1);
@@ -540,6 +570,16 @@
                             JobFixtures.run("j2", 0, 4, 1));
         }
 
+        @Test
+        void startBesideAGangOfSuspectsWithoutAPlace() {
+            accept("g1", JobFixtures.gang(3, 1000));
+            accept("j1", JobFixtures.step(1, List.of()));
+            crashWorkers(1);
+            table.apply(++index, JobFixtures.acceptAt("j2", -1, JobFixtures.step(2, List.of())));
+            start();
+            assertThat(table.runsOn(worker)).contains(JobFixtures.run("j1", 0, 0, 2));
+        }
+
         /** Lets the worker crash after it was sent the starts of all tasks that it has capacity for. */
         private void crashWorkers(int times) {
             for (int i = 0; i < times; i++) {
@@ -627,8 +667,8 @@
         return new EndedRun(number, JobFixtures.run(job, 0, task, attempt), end, "");
     }
 
-    /** Records the reasons for which runs were stopped and workers were lost, and the tasks given up. */
-    private record RecordedEvents(List<String> stops, List<String> losses, List<TaskKey> givenUp)
+    /** Records the reasons for which runs were stopped, workers were lost and jobs wait, and the tasks given up. */
+    private record RecordedEvents(List<String> stops, List<String> losses, List<TaskKey> givenUp, List<String> waits)
             implements SchedulerListener {
         @Override
         public void workerSeen(WorkerReport report) {}
@@ -661,7 +701,9 @@
         }
 
         @Override
-        public void waiting(JobRecord job, int step, WaitReason reason) {}
+        public void waiting(JobRecord job, int step, WaitReason reason) {
+            waits.add(job.id() + " " + reason);
+        }
 
         @Override
         public void workerSpeed(WorkerId worker, boolean slow, double factor) {}
