Keep the runs of a worker that has announced its exit until its lease ends

Cause: JobScheduler.workerLeft took the process to have ended within the time in which a worker waits for an answer. Nothing tells whether the worker got the acknowledgement.

Now an announced exit ends no run: the end is reported, or proved by another process at the id or address, or by the end of the lease. The worker gets no new tasks. Reports that arrive after the announcement are processed, so that what ends meanwhile is not run again. The log line is worker-exiting.

Ruled out: an expired lease (the worker had reported until 1 s before the second start) and a successor at the address.

Tests: with the earlier scheduler, 2 of the 4 tests of WorkersThatAnnounceTheirExit failed (runs on the worker: expected 1, was 0; job: expected DONE, was RUNNING). reservesCapacityWhileFiniteTasksRun lost its worker by an announced exit and 1.1 s; that no longer loses a worker, so it is replaced at its address there. Its assertion is unchanged.

--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/EngineEvents.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/EngineEvents.java
@@ -47,6 +47,14 @@
                 .write();
     }
 
+    @Override
+    public void workerExiting(WorkerIncarnation incarnation) {
+        Event.of("worker-exiting")
+                .with("worker", incarnation.worker())
+                .with("life", incarnation.startedEpochMillis())
+                .write();
+    }
+
     @Override
     public void workerGone(WorkerIncarnation incarnation, String reason) {
         Event.of("worker-gone")
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobEngine.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobEngine.java
@@ -223,7 +223,7 @@
                     && startedEpochMillis.isPresent()
                     && incarnation.get().startedEpochMillis() == startedEpochMillis.getAsLong();
             if (current) {
-                scheduler.workerLeft(incarnation.get(), ticker.nanos());
+                scheduler.workerLeft(incarnation.get());
                 wake();
             }
             return true;
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/JobScheduler.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/JobScheduler.java
@@ -105,15 +105,15 @@
     }
 
     /**
-     * Records that a worker has announced its exit.
+     * Records that a worker has announced its exit. It gets no new tasks; its runs stay live until its lease has
+     * expired or another process has replaced it.
      *
      * @param incarnation the worker's incarnation
-     * @param now the current time, in nanoseconds of a monotonic clock
      */
-    public void workerLeft(WorkerIncarnation incarnation, long now) {
+    public void workerLeft(WorkerIncarnation incarnation) {
         state.workers().find(incarnation).ifPresent(entry -> {
-            entry.exited(now + state.times().reportTimeout().toNanos());
-            state.events().workerGone(incarnation, "left");
+            entry.announceExit();
+            state.events().workerExiting(incarnation);
         });
     }
 
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/ReportHandler.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/ReportHandler.java
@@ -242,7 +242,7 @@
     }
 
     private ReportTiming timing(WorkerEntry entry) {
-        boolean hasRoom = entry.hasRoom() && !entry.report().leaving() && !entry.hasExited();
+        boolean hasRoom = entry.hasRoom() && !entry.report().leaving() && !entry.exitAnnounced();
         return ReportTiming.of(state.workers().entries().size(), hasRoom, runsFiniteTasks(entry));
     }
 
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/SchedulerListener.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/SchedulerListener.java
@@ -16,7 +16,14 @@
     void workerSeen(WorkerReport report);
 
     /**
-     * Called when no run can be running on a worker any more, or when the worker has announced its exit.
+     * Called when a worker has announced its exit.
+     *
+     * @param incarnation the worker's incarnation
+     */
+    void workerExiting(WorkerIncarnation incarnation);
+
+    /**
+     * Called when no run can be running on a worker any more.
      *
      * @param incarnation the worker's incarnation
      * @param reason the reason, such as {@code lease-ended}
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TransitionPlanner.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TransitionPlanner.java
@@ -202,7 +202,7 @@
 
     private static boolean acceptsTasks(WorkerEntry entry, long now) {
         return !entry.report().leaving()
-                && !entry.hasExited()
+                && !entry.exitAnnounced()
                 && !entry.refusing(now)
                 && !entry.silentFor(now, MAX_REPORT_AGE_NANOS);
     }
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/WorkerEntry.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/WorkerEntry.java
@@ -21,10 +21,11 @@
     private WorkerReport report;
     private long reportedNanos;
     private long leaseEndNanos;
-    private long exitNanos = Long.MAX_VALUE;
     private long learnedNanos;
     private long evictedNanos;
     private long refusedUntilNanos = Long.MIN_VALUE;
+    private boolean exitAnnounced;
+    private boolean replaced;
     private boolean crashed;
     private boolean awaitsAnswer;
     private boolean hasRoom = true;
@@ -112,15 +113,18 @@
         leaseEndNanos = Math.max(leaseEndNanos, untilNanos);
     }
 
-    /** Records that the worker's process is exiting or has exited, and from when on nothing can run there. */
-    void exited(long fromNanos) {
-        exitNanos = Math.min(exitNanos, fromNanos);
+    /**
+     * Records that the worker has announced its exit. Its process may run on without an acknowledgement, so its runs
+     * stay live until its lease has expired or another process has replaced it.
+     */
+    void announceExit() {
+        exitAnnounced = true;
     }
 
     /** Records that another process has replaced the worker's, which has crashed unless it was to exit. */
     void replaced(long now) {
-        crashed |= !lost(now) && !hasExited() && !report.leaving();
-        exited(now);
+        crashed |= !lost(now) && !exitAnnounced && !report.leaving();
+        replaced = true;
     }
 
     boolean crashed() {
@@ -129,11 +133,11 @@
 
     /** Returns whether nothing can be running on the worker any more. */
     boolean lost(long now) {
-        return now - leaseEndNanos >= 0 || (exitNanos != Long.MAX_VALUE && now - exitNanos >= 0);
+        return replaced || now - leaseEndNanos >= 0;
     }
 
-    boolean hasExited() {
-        return exitNanos != Long.MAX_VALUE;
+    boolean exitAnnounced() {
+        return exitAnnounced;
     }
 
     boolean silentFor(long now, long boundNanos) {
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/WorkerRegistry.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/WorkerRegistry.java
@@ -29,7 +29,7 @@
         }
         boolean current = known.incarnation().equals(incarnation)
                 && report.sequence() > known.report().sequence();
-        if (!current || known.hasExited()) {
+        if (!current) {
             return Optional.empty();
         }
         known.update(report, now);
--- a/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobSchedulerTests.java
+++ b/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobSchedulerTests.java
@@ -154,6 +154,51 @@
         }
     }
 
+    /** Guards against tasks that run twice since a worker without an acknowledgement of its exit runs on. */
+    @Nested
+    class WorkersThatAnnounceTheirExit {
+        @BeforeEach
+        void startATask() {
+            accept("j1", JobFixtures.step(1, List.of()));
+            startAll(W1);
+            scheduler.workerLeft(W1);
+        }
+
+        @Test
+        void keepTheirRunsUntilTheirLeasesHaveCertainlyExpired() {
+            now += TimeUnit.MILLISECONDS.toNanos(10_199);
+            report(W22);
+            commit(plan());
+            assertThat(table.runsOn(W1)).hasSize(1);
+            now += TimeUnit.MILLISECONDS.toNanos(400);
+            commit(plan());
+            assertThat(table.runsOn(W1)).isEmpty();
+        }
+
+        @Test
+        void loseTheirRunsOnceAnotherProcessHoldsTheirAddress() {
+            replace(W1);
+            commit(plan());
+            assertThat(table.runsOn(W1)).isEmpty();
+        }
+
+        @Test
+        void mayReportEndsUntilTheyExit() {
+            scheduler.report(
+                    JobFixtures.report(W1, ++sequence, List.of(), List.of(ended(1, "j1", 0, 1, ReportedEnd.COMPLETED))),
+                    now);
+            commit(plan());
+            assertThat(table.find(JobId.of("j1")).orElseThrow().state()).isEqualTo(JobState.DONE);
+        }
+
+        @Test
+        void getNoTasks() {
+            accept("j2", JobFixtures.step(1, List.of()));
+            commit(plan());
+            assertThat(table.runsOn(W1)).hasSize(1);
+        }
+    }
+
     @Nested
     class Placement {
         @Test
@@ -255,8 +300,7 @@
             accept("j1", JobFixtures.step(4, List.of()));
             accept("j2", JobFixtures.step(4, List.of()));
             startAll(W1);
-            scheduler.workerLeft(W22, now);
-            now += TimeUnit.MILLISECONDS.toNanos(1100);
+            replace(W22);
             commit(plan());
             report(W1, ended(1, "j1", 0, 1, ReportedEnd.COMPLETED));
             commit(plan());
@@ -457,7 +501,7 @@
             accept("j1", JobFixtures.step(1, List.of()));
             for (int i = 0; i < 4; i++) {
                 start();
-                scheduler.workerLeft(worker, now);
+                scheduler.workerLeft(worker);
                 restart();
             }
             assertThat(state("j1")).isEqualTo(JobState.RUNNING);
@@ -624,6 +668,13 @@
         }
     }
 
+    /** Lets another process hold the address of a worker, which leaves and so gets no tasks. */
+    private void replace(WorkerIncarnation worker) {
+        WorkerReport held = JobFixtures.report(worker, 0, List.of(), List.of());
+        WorkerIncarnation successor = JobFixtures.incarnation("successor", worker.startedEpochMillis() + 1);
+        scheduler.report(JobFixtures.report(successor, 1, held.address(), true, List.of(), List.of()), now);
+    }
+
     private void accept(String id, JobStep... steps) {
         table.apply(++index, JobFixtures.accept(id, steps));
     }
@@ -673,6 +724,9 @@
         @Override
         public void workerSeen(WorkerReport report) {}
 
+        @Override
+        public void workerExiting(WorkerIncarnation incarnation) {}
+
         @Override
         public void workerGone(WorkerIncarnation incarnation, String reason) {
             losses.add(reason);
--- a/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/SilentListener.java
+++ b/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/SilentListener.java
@@ -7,6 +7,9 @@
     @Override
     public void workerSeen(WorkerReport report) {}
 
+    @Override
+    public void workerExiting(WorkerIncarnation incarnation) {}
+
     @Override
     public void workerGone(WorkerIncarnation incarnation, String reason) {}
 
