Ignore status reports for services that are not declared

Cause: WorkerRegistry.register took each well-formed report for one of a worker. A later start at the same address, or under the same id, is proof that the earlier process has ended, so the worker was retired.

Now a report counts only if its service is declared by the configuration in force, or named by a job of the table, as a service may be removed while its jobs run. Others get an answer that grants nothing; they are counted, and logged as report-rejected, sampled.

Ruled out: the rule on addresses itself; a genuine successor still ends the runs (endsAllRunsOfTheWorkerThatHeldTheAddressBefore).

Tests: without the check 3 of the 4 tests of ReportsForUnknownServices failed (runs on the worker: expected 1, was 0).

--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/classes/JobClassSection.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/classes/JobClassSection.java
@@ -3,6 +3,7 @@
 import dev.waxwinghead.daemon.log.Event;
 import dev.waxwinghead.daemon.state.SectionId;
 import dev.waxwinghead.daemon.state.StateSection;
+import dev.waxwinghead.model.id.ServiceName;
 import java.util.Locale;
 import java.util.Optional;
 
@@ -32,6 +33,17 @@
         return Optional.ofNullable(current);
     }
 
+    /**
+     * Returns whether the latest document that this host has applied declares a service.
+     *
+     * @param service the service
+     * @return true if the document declares the service, false if it does not or there is no document
+     */
+    public boolean declares(ServiceName service) {
+        JobClassDirectory directory = current;
+        return directory != null && directory.document().services().contains(service);
+    }
+
     @Override
     public SectionId id() {
         return SectionId.JOB_CLASSES;
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/EngineEvents.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/EngineEvents.java
@@ -20,10 +20,14 @@
     /** One of this many late reports is logged. Networks that deliver messages twice make late reports common. */
     private static final int LATE_REPORT_SAMPLE = 100;
 
+    /** One of this many reports for unknown services is logged, since their sender may repeat them for long. */
+    private static final int REJECTED_REPORT_SAMPLE = 100;
+
     private final MeterRegistry meters;
     private final Counter starts;
     private final Counter stops;
     private final Counter lateReports;
+    private final Counter rejectedReports;
     private final Counter crashes;
     private final Counter givenUp;
 
@@ -32,6 +36,7 @@
         this.starts = meters.counter("waxwinghead.job.task.starts");
         this.stops = meters.counter("waxwinghead.job.task.stops");
         this.lateReports = meters.counter("waxwinghead.job.reports.late");
+        this.rejectedReports = meters.counter("waxwinghead.job.reports.rejected");
         this.crashes = meters.counter("waxwinghead.job.worker.crashes");
         this.givenUp = meters.counter("waxwinghead.job.given.up");
     }
@@ -78,6 +83,22 @@
                 .write();
     }
 
+    @Override
+    public void reportRejected(WorkerReport report) {
+        rejectedReports.increment();
+        if (rejectedReports.count() % REJECTED_REPORT_SAMPLE != 1) {
+            return;
+        }
+        Event.of("report-rejected")
+                .with("worker", report.incarnation().worker())
+                .with("life", report.incarnation().startedEpochMillis())
+                .with("address", report.address())
+                .with("service", report.service())
+                .with("reason", "unknown-service")
+                .with("total", (long) rejectedReports.count())
+                .write();
+    }
+
     @Override
     public void starting(RunKey run, WorkerIncarnation worker, long epoch) {
         starts.increment();
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobEngine.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobEngine.java
@@ -7,6 +7,7 @@
 import dev.waxwinghead.daemon.state.SharedState;
 import dev.waxwinghead.model.error.WaxwingheadException;
 import dev.waxwinghead.model.id.HostId;
+import dev.waxwinghead.model.id.ServiceName;
 import dev.waxwinghead.model.id.WorkerId;
 import dev.waxwinghead.model.lifecycle.Closer;
 import dev.waxwinghead.model.time.Deadline;
@@ -34,6 +35,7 @@
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
+import java.util.function.Predicate;
 
 /**
  * Acts as the scheduler of submitted jobs while this host leads the log.
@@ -87,6 +89,7 @@
             JobTable table,
             SchedulingAuthority authority,
             SchedulerTimes times,
+            Predicate<ServiceName> declared,
             SchedulerListener events,
             Ticker ticker,
             LongSupplier epochMillis) {
@@ -96,7 +99,7 @@
         this.authority = authority;
         this.ticker = ticker;
         this.epochMillis = epochMillis;
-        this.scheduler = JobScheduler.of(table, times, events);
+        this.scheduler = JobScheduler.of(table, times, declared, events);
         this.thread = new Thread(this::run, "job-engine");
         this.answerExecutor = ThreadPools.bounded("answers", ANSWER_THREADS, closer);
     }
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobHost.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobHost.java
@@ -112,6 +112,7 @@
                 jobs.table(),
                 new SchedulingAuthority(sharedState, ticker, System::currentTimeMillis),
                 settings.times(),
+                classes::declares,
                 new EngineEvents(meters),
                 ticker,
                 System::currentTimeMillis));
--- a/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/jobs/JobEngineTests.java
+++ b/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/jobs/JobEngineTests.java
@@ -43,6 +43,7 @@
                 new JobSection().table(),
                 new SchedulingAuthority(state, Ticker.system(), System::currentTimeMillis),
                 times,
+                service -> true,
                 new EngineEvents(new SimpleMeterRegistry()),
                 Ticker.system(),
                 System::currentTimeMillis));
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/JobScheduler.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/JobScheduler.java
@@ -1,10 +1,12 @@
 package dev.waxwinghead.scheduling.job;
 
+import dev.waxwinghead.model.id.ServiceName;
 import dev.waxwinghead.model.id.WorkerId;
 import dev.waxwinghead.scheduling.interference.PairEstimate;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 
 /**
  * Schedules the jobs of a {@link JobTable}: answers the workers' reports and plans the transitions of the tasks.
@@ -34,11 +36,14 @@
      *
      * @param table the table
      * @param times the durations that the scheduler applies
+     * @param declared returns whether a service is declared now; reports for a service that is neither declared nor
+     *     named by a job of the table are ignored
      * @param events the listener that is notified of each decision
      * @return the scheduler, never null
      */
-    public static JobScheduler of(JobTable table, SchedulerTimes times, SchedulerListener events) {
-        return new JobScheduler(new SchedulerState(table, times, events));
+    public static JobScheduler of(
+            JobTable table, SchedulerTimes times, Predicate<ServiceName> declared, SchedulerListener events) {
+        return new JobScheduler(new SchedulerState(table, times, declared, events));
     }
 
     /**
@@ -58,7 +63,7 @@
      *
      * @param report the report
      * @param now the current time, in nanoseconds of a monotonic clock
-     * @return the answer; empty if the report is late or of an earlier incarnation
+     * @return the answer; empty if the report is late, of an earlier incarnation or for an unknown service
      */
     public Optional<WorkerInstructions> report(WorkerReport report, long now) {
         return receive(report, now).flatMap(this::answer);
@@ -69,7 +74,8 @@
      *
      * @param report the report
      * @param now the current time, in nanoseconds of a monotonic clock
-     * @return the receipt, with the latest time to answer; empty if the report is late or of an earlier incarnation
+     * @return the receipt, with the latest time to answer; empty if the report is late, of an earlier incarnation or
+     *     for an unknown service
      */
     public Optional<ReportReceipt> receive(WorkerReport report, long now) {
         return reportHandler.receive(report, now);
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/ReportHandler.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/ReportHandler.java
@@ -32,8 +32,12 @@
         this.state = state;
     }
 
-    /** Processes a report. Returns empty if it is late or of an earlier incarnation. */
+    /** Processes a report. Returns empty if it is late, of an earlier incarnation or for an unknown service. */
     Optional<ReportReceipt> receive(WorkerReport report, long now) {
+        if (!state.knows(report.service())) {
+            state.events().reportRejected(report);
+            return Optional.empty();
+        }
         boolean known = state.workers().find(report.incarnation()).isPresent();
         Optional<WorkerEntry> registered = state.workers().register(report, now);
         if (registered.isEmpty()) {
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/SchedulerListener.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/SchedulerListener.java
@@ -37,6 +37,13 @@
      */
     void reportIgnored(WorkerReport report);
 
+    /**
+     * Called when a report is ignored, since its service is neither declared nor named by a job.
+     *
+     * @param report the report
+     */
+    void reportRejected(WorkerReport report);
+
     /**
      * Called when the start of a run is about to be committed.
      *
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/SchedulerState.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/SchedulerState.java
@@ -1,6 +1,7 @@
 package dev.waxwinghead.scheduling.job;
 
 import dev.waxwinghead.model.id.JobId;
+import dev.waxwinghead.model.id.ServiceName;
 import dev.waxwinghead.model.id.WorkerId;
 import dev.waxwinghead.scheduling.health.WorkerHealth;
 import java.util.ArrayList;
@@ -11,6 +12,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 
 /** Holds the state shared by the parts of a scheduler: the table, the reported workers, and the learned models. */
 final class SchedulerState {
@@ -19,6 +21,7 @@
 
     private final JobTable table;
     private final SchedulerTimes times;
+    private final Predicate<ServiceName> declared;
     private final SchedulerListener events;
     private final WorkerHealth<JobId> health = WorkerHealth.create(QUARANTINE_NANOS);
     private final InterferenceControl interference = new InterferenceControl();
@@ -27,9 +30,10 @@
     private final SlowWorkerDetector slowWorkers;
     private WorkerRegistry workers = new WorkerRegistry();
 
-    SchedulerState(JobTable table, SchedulerTimes times, SchedulerListener events) {
+    SchedulerState(JobTable table, SchedulerTimes times, Predicate<ServiceName> declared, SchedulerListener events) {
         this.table = table;
         this.times = times;
+        this.declared = declared;
         this.events = events;
         this.waits = new WaitLog(events);
         this.slowWorkers = new SlowWorkerDetector(events);
@@ -73,6 +77,12 @@
         workers = new WorkerRegistry();
     }
 
+    /** Returns whether a service is declared, or was when a job was accepted that the table still holds. */
+    boolean knows(ServiceName service) {
+        return declared.test(service)
+                || table.all().stream().anyMatch(job -> job.terms().service().equals(service));
+    }
+
     /** Returns the step of a task, empty if the job is no longer known. */
     Optional<JobStep> step(TaskKey task) {
         return table.find(task.job())
--- a/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/FleetSimulation.java
+++ b/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/FleetSimulation.java
@@ -52,7 +52,7 @@
     private long reports;
 
     FleetSimulation(int workerCount, long millicores, SchedulerListener listener) {
-        scheduler = JobScheduler.of(table, TIMES, listener);
+        scheduler = JobScheduler.of(table, TIMES, service -> true, listener);
         table.apply(++logIndex, new JobCommand.Acquire(HostId.of("h1")));
         scheduler.takeOver(nanos());
         for (int i = 0; i < workerCount; i++) {
--- a/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobSchedulerTests.java
+++ b/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobSchedulerTests.java
@@ -4,6 +4,7 @@
 
 import dev.waxwinghead.model.id.HostId;
 import dev.waxwinghead.model.id.JobId;
+import dev.waxwinghead.model.id.ServiceName;
 import dev.waxwinghead.model.id.WorkerId;
 import dev.waxwinghead.scheduling.interference.PairEstimate;
 import dev.waxwinghead.scheduling.job.WorkerReport.EndedRun;
@@ -11,8 +12,10 @@
 import dev.waxwinghead.scheduling.job.WorkerReport.RunningTask;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
@@ -29,7 +32,8 @@
     private final List<String> losses = new ArrayList<>();
     private final List<TaskKey> givenUp = new ArrayList<>();
     private final List<String> waits = new ArrayList<>();
-    private JobScheduler scheduler = JobScheduler.of(table, TIMES, new RecordedEvents(stops, losses, givenUp, waits));
+    private final Set<ServiceName> services = new HashSet<>(Set.of(ServiceName.of("orders")));
+    private JobScheduler scheduler = newScheduler();
     private long index;
     private long now = TimeUnit.SECONDS.toNanos(1000);
     private long sequence;
@@ -123,6 +127,63 @@
         }
     }
 
+    /** Guards against tasks that run twice after another program has sent a report from a worker's address. */
+    @Nested
+    class ReportsForUnknownServices {
+        private static final String ADDRESS = "10.0.0.1:802";
+
+        @BeforeEach
+        void startATask() {
+            accept("j1", JobFixtures.step(1, List.of()));
+            startAll(W1);
+        }
+
+        @Test
+        void endNoRunsOfTheWorkerAtTheSameAddress() {
+            reportFor("log-shipper", JobFixtures.incarnation("agent", 5));
+            commit(plan());
+            assertThat(table.runsOn(W1)).hasSize(1);
+            assertThat(report(W1, running("j1", 0, 1, 10)).stops()).isEmpty();
+        }
+
+        @Test
+        void replaceNoIncarnationOfTheSameWorker() {
+            reportFor("log-shipper", JobFixtures.incarnation("w1", 5));
+            commit(plan());
+            assertThat(table.runsOn(W1)).hasSize(1);
+            assertThat(report(W1, running("j1", 0, 1, 10)).stops()).isEmpty();
+        }
+
+        @Test
+        void getNoAnswerThatGrantsALease() {
+            assertThat(reportFor("log-shipper", JobFixtures.incarnation("agent", 5)))
+                    .isEqualTo(Optional.empty());
+        }
+
+        @Test
+        void areProcessedAsLongAsAJobNamesTheService() {
+            services.clear();
+            assertThat(report(W1, running("j1", 0, 1, 10)).stops()).isEmpty();
+        }
+
+        private Optional<WorkerInstructions> reportFor(String service, WorkerIncarnation incarnation) {
+            WorkerReport known = JobFixtures.report(incarnation, 1_000, ADDRESS, false, List.of(), List.of());
+            WorkerReport report = new WorkerReport(
+                    incarnation,
+                    known.sequence(),
+                    ServiceName.of(service),
+                    known.address(),
+                    known.capacity(),
+                    known.labels(),
+                    known.rack(),
+                    false,
+                    0,
+                    known.running(),
+                    known.ended());
+            return scheduler.report(report, now);
+        }
+    }
+
     @Nested
     class Leases {
         @Test
@@ -453,7 +514,7 @@
         void areGivenUpAfterCrashesThatSeveralSchedulersSaw() {
             accept("j1", JobFixtures.step(1, List.of()));
             crashWorkers(2);
-            scheduler = JobScheduler.of(table, TIMES, new RecordedEvents(stops, losses, givenUp, waits));
+            scheduler = newScheduler();
             table.apply(++index, new JobCommand.Acquire(HostId.of("h2")));
             scheduler.takeOver(now);
             crashWorkers(1);
@@ -668,6 +729,10 @@
         }
     }
 
+    private JobScheduler newScheduler() {
+        return JobScheduler.of(table, TIMES, services::contains, new RecordedEvents(stops, losses, givenUp, waits));
+    }
+
     /** Lets another process hold the address of a worker, which leaves and so gets no tasks. */
     private void replace(WorkerIncarnation worker) {
         WorkerReport held = JobFixtures.report(worker, 0, List.of(), List.of());
@@ -735,6 +800,9 @@
         @Override
         public void reportIgnored(WorkerReport report) {}
 
+        @Override
+        public void reportRejected(WorkerReport report) {}
+
         @Override
         public void starting(RunKey run, WorkerIncarnation worker, long epoch) {}
 
--- a/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/SilentListener.java
+++ b/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/SilentListener.java
@@ -16,6 +16,9 @@
     @Override
     public void reportIgnored(WorkerReport report) {}
 
+    @Override
+    public void reportRejected(WorkerReport report) {}
+
     @Override
     public void starting(RunKey run, WorkerIncarnation worker, long epoch) {}
 
