End the claim to an address when its holder is given up

After another program had reported under the address of a worker, with a later start, the worker's reports were ignored for as long as the scheduler acted, also after the other incarnation had been silent and was removed.

Cause: WorkerRegistry kept the latest incarnation at each address without a limit. remove() forgot the incarnation, but not its claim.

Now the claim ends with its holder, about 10 s after the holder's last report. A report that was delayed for longer than that can register a process that is gone; it gets no task that runs, and its lease ends.

Test: WorkersWhoseAddressWasClaimed failed before (the worker's report got no answer).

--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/WorkerRegistry.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/WorkerRegistry.java
@@ -58,9 +58,10 @@
         return entry != null && entry.incarnation().startedEpochMillis() > incarnation.startedEpochMillis();
     }
 
-    /** Removes an incarnation without live runs. */
+    /** Removes an incarnation without live runs, and its claim to its address. */
     void remove(WorkerEntry entry) {
         earlier.remove(entry.incarnation());
+        addresses.remove(entry.report().address(), entry.incarnation());
         latest.remove(entry.id(), entry);
     }
 
--- a/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobSchedulerTests.java
+++ b/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobSchedulerTests.java
@@ -184,6 +184,23 @@
         }
     }
 
+    /** Guards against a worker that is ignored for good after another program has reported its address. */
+    @Nested
+    class WorkersWhoseAddressWasClaimed {
+        @Test
+        void reportAgainOnceTheOtherIncarnationIsLost() {
+            report(W1);
+            replace(W1);
+            assertThat(scheduler.report(JobFixtures.report(W1, ++sequence, List.of(), List.of()), now))
+                    .isEqualTo(Optional.empty());
+            now += TimeUnit.SECONDS.toNanos(12);
+            commit(plan());
+            accept("j1", JobFixtures.step(1, List.of()));
+            startAll(W1);
+            assertThat(table.runsOn(W1)).hasSize(1);
+        }
+    }
+
     @Nested
     class Leases {
         @Test
