Answer requests with deeply nested values

A configuration with 900 nested arrays in an unknown field got no answer: the operator waited until its own time limit.

Cause: the digest of a configuration descends into each value and overflowed the stack of 256 KB that the hosts' threads have. HttpListener answered exceptions only; the Error ended the thread and left the exchange open.

Ruled out: the decoder of the library, which does not recurse; status reports with the same nesting were decoded.

--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/http/HttpListener.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/http/HttpListener.java
@@ -3,6 +3,7 @@
 import com.sun.net.httpserver.HttpExchange;
 import com.sun.net.httpserver.HttpHandler;
 import com.sun.net.httpserver.HttpServer;
+import dev.waxwinghead.daemon.log.Event;
 import dev.waxwinghead.model.error.ErrorKind;
 import dev.waxwinghead.model.error.WaxwingheadException;
 import java.io.IOException;
@@ -12,8 +13,8 @@
 /**
  * Listens for HTTP requests on one address.
  *
- * <p>A handler may return before the exchange is finished and finish it on another thread. An exception thrown by a
- * handler is answered as a JSON error.
+ * <p>A handler may return before the exchange is finished and finish it on another thread. An exception or error thrown
+ * by a handler is answered as a JSON error.
  */
 public final class HttpListener implements AutoCloseable {
     private static final int BACKLOG = 1_024;
@@ -78,7 +79,13 @@
     private static void handle(HttpExchange exchange, HttpHandler handler) {
         try {
             handler.handle(exchange);
-        } catch (IOException | RuntimeException e) {
+        } catch (WaxwingheadException | IOException e) {
+            JsonExchange.fail(exchange, e);
+        } catch (RuntimeException | Error e) {
+            Event.of("request-handler-failed")
+                    .with("path", exchange.getRequestURI())
+                    .with("failure", e)
+                    .write();
             JsonExchange.fail(exchange, e);
         }
     }
--- a/waxwinghead-model/src/main/java/dev/waxwinghead/model/manifest/Manifests.java
+++ b/waxwinghead-model/src/main/java/dev/waxwinghead/model/manifest/Manifests.java
@@ -1,10 +1,12 @@
 package dev.waxwinghead.model.manifest;
 
+import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.MappingIterator;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.dataformat.yaml.YAMLFactory;
 import com.fasterxml.jackson.dataformat.yaml.YAMLMapper;
 import dev.waxwinghead.model.error.ErrorKind;
 import dev.waxwinghead.model.error.WaxwingheadException;
@@ -25,12 +27,16 @@
     /** The size limit of a text, in characters. */
     public static final int MAX_TEXT_CHARACTERS = 4 * 1024 * 1024;
 
-    private static final ObjectMapper YAML = YAMLMapper.builder()
+    private static final ObjectMapper YAML = YAMLMapper.builder(YAMLFactory.builder()
+                    .streamReadConstraints(ReadLimits.constraints())
+                    .build())
             .enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES)
             .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
             .build();
 
-    private static final ObjectMapper JSON = JsonMapper.builder()
+    private static final ObjectMapper JSON = JsonMapper.builder(JsonFactory.builder()
+                    .streamReadConstraints(ReadLimits.constraints())
+                    .build())
             .enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES)
             .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
             .build();
