Log runs that no report lists, and why replaced tasks wait

Replaced tasks recorded no wait, and nothing showed capacity that the table counts and no worker uses.

Now a replaced task records its wait like any other, and a live run that its worker's reports have listed neither as running nor as ended for 3 s is logged once as run-unlisted, with whether its start was sent and whether it is to stop, and counted in waxwinghead.job.runs.unlisted.

--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/EngineEvents.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/EngineEvents.java
@@ -28,6 +28,7 @@
     private final Counter stops;
     private final Counter lateReports;
     private final Counter rejectedReports;
+    private final Counter unlistedRuns;
     private final Counter crashes;
     private final Counter givenUp;
 
@@ -37,6 +38,7 @@
         this.stops = meters.counter("waxwinghead.job.task.stops");
         this.lateReports = meters.counter("waxwinghead.job.reports.late");
         this.rejectedReports = meters.counter("waxwinghead.job.reports.rejected");
+        this.unlistedRuns = meters.counter("waxwinghead.job.runs.unlisted");
         this.crashes = meters.counter("waxwinghead.job.worker.crashes");
         this.givenUp = meters.counter("waxwinghead.job.given.up");
     }
@@ -99,6 +101,19 @@
                 .write();
     }
 
+    @Override
+    public void unlisted(RunKey run, WorkerIncarnation worker, boolean sent, boolean stopping) {
+        unlistedRuns.increment();
+        Event.of("run-unlisted")
+                .with("job", run.task().job())
+                .with("task", run.task())
+                .with("attempt", run.attempt())
+                .with("worker", worker.worker())
+                .with("sent", sent)
+                .with("stopping", stopping)
+                .write();
+    }
+
     @Override
     public void starting(RunKey run, WorkerIncarnation worker, long epoch) {
         starts.increment();
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/ReportHandler.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/ReportHandler.java
@@ -54,6 +54,7 @@
         List<InterferenceControl.ResidentTask> residents = state.residents(entry);
         state.interference().learn(entry, residents, now);
         requestStops(entry, now);
+        recordOverdueRuns(entry, now);
         protectServingTasks(entry, residents, now);
         return Optional.of(new ReportReceipt(
                 report.incarnation(), report.sequence(), timing(entry).answerDueNanos(now)));
@@ -113,6 +114,14 @@
         }
     }
 
+    private void recordOverdueRuns(WorkerEntry entry, long now) {
+        for (RunKey run : entry.newlyOverdue(state.table().runsOn(entry.incarnation()), now)) {
+            boolean sent = entry.sent().contains(run);
+            boolean stopping = entry.stopping().contains(run);
+            state.events().unlisted(run, entry.incarnation(), sent, stopping);
+        }
+    }
+
     private Optional<String> stopReason(WorkerEntry entry, RunKey run, long now) {
         Optional<JobRecord> job = state.table().find(run.task().job());
         if (job.isEmpty() || job.get().state().ended()) {
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/SchedulerListener.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/SchedulerListener.java
@@ -44,6 +44,17 @@
      */
     void reportRejected(WorkerReport report);
 
+    /**
+     * Called once for a live run that its worker has listed neither as running nor as ended for longer than a start
+     * takes. The run keeps its capacity.
+     *
+     * @param run the run
+     * @param worker the worker's incarnation
+     * @param sent whether the start was sent in an answer of this scheduler
+     * @param stopping whether the worker is told to stop the run
+     */
+    void unlisted(RunKey run, WorkerIncarnation worker, boolean sent, boolean stopping);
+
     /**
      * Called when the start of a run is about to be committed.
      *
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/StartPlan.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/StartPlan.java
@@ -74,9 +74,11 @@
             Optional<WorkerEntry> worker = place(workers, key, task);
             if (worker.isPresent()) {
                 start(run, worker.get());
-            } else if (!replacements) {
+                continue;
+            }
+            recordWait(job, position, step, perWorker, task.suspect());
+            if (!replacements) {
                 startStarved(job, step, run, perWorker);
-                recordWait(job, position, step, perWorker, task.suspect());
                 if (!task.suspect()) {
                     return;
                 }
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/WorkerEntry.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/WorkerEntry.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -18,6 +19,7 @@
     private final Map<RunKey, WorkerReport.EndedRun> ends = new LinkedHashMap<>();
     private final Set<RunKey> stopping = new HashSet<>();
     private final Set<RunKey> sent = new HashSet<>();
+    private final UnlistedRuns unlisted = new UnlistedRuns();
     private WorkerReport report;
     private long reportedNanos;
     private long leaseEndNanos;
@@ -109,6 +111,13 @@
         return stopping;
     }
 
+    /** Returns the live runs that have become overdue in the worker's reports; each is returned once. */
+    List<RunKey> newlyOverdue(Set<RunKey> live, long now) {
+        Set<RunKey> listed = new HashSet<>(observations.keySet());
+        listed.addAll(ends.keySet());
+        return unlisted.update(live, listed, now);
+    }
+
     void extendLease(long untilNanos) {
         leaseEndNanos = Math.max(leaseEndNanos, untilNanos);
     }
--- a/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobSchedulerTests.java
+++ b/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobSchedulerTests.java
@@ -820,6 +820,9 @@
         @Override
         public void reportRejected(WorkerReport report) {}
 
+        @Override
+        public void unlisted(RunKey run, WorkerIncarnation worker, boolean sent, boolean stopping) {}
+
         @Override
         public void starting(RunKey run, WorkerIncarnation worker, long epoch) {}
 
--- a/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/SilentListener.java
+++ b/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/SilentListener.java
@@ -19,6 +19,9 @@
     @Override
     public void reportRejected(WorkerReport report) {}
 
+    @Override
+    public void unlisted(RunKey run, WorkerIncarnation worker, boolean sent, boolean stopping) {}
+
     @Override
     public void starting(RunKey run, WorkerIncarnation worker, long epoch) {}
 
