End runs that are cancelled before any answer can start them

Cause: a start is committed before it is sent. If the job is cancelled in between, the start is left out of all answers and the run is only asked to stop. The worker has never heard of it and lists neither the run nor its end, so the run stayed live in the table and kept its capacity until its worker was gone. Each cancellation could leave some.

Now such a run ends once no answer can start it any more: the worker's latest report does not list it and is newer than each report whose answer contained its start. For runs of an earlier scheduler, whose answers are not known, a report counts only from the time on after which these answers are too late to be obeyed. Limited to tasks that have no further run, so that a run that is listed late after all is stopped and overlaps with none.

--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/EngineEvents.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/EngineEvents.java
@@ -114,6 +114,18 @@
                 .write();
     }
 
+    @Override
+    public void neverStarted(RunKey run, WorkerIncarnation worker) {
+        meters.counter("waxwinghead.job.task.ends", "how", "never_started").increment();
+        Event.of("task-end")
+                .with("job", run.task().job())
+                .with("task", run.task())
+                .with("attempt", run.attempt())
+                .with("worker", worker.worker())
+                .with("how", "never_started")
+                .write();
+    }
+
     @Override
     public void starting(RunKey run, WorkerIncarnation worker, long epoch) {
         starts.increment();
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/JobScheduler.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/JobScheduler.java
@@ -54,7 +54,7 @@
      * @param now the current time, in nanoseconds of a monotonic clock
      */
     public void takeOver(long now) {
-        state.forgetWorkers();
+        state.takeOver(now);
         planner.takeOver(now);
     }
 
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/ReportHandler.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/ReportHandler.java
@@ -49,6 +49,9 @@
             state.events().workerSeen(report);
         }
         entry.extendLease(now + state.times().leaseBoundNanos());
+        if (now - state.takenOverNanos() >= state.times().reportTimeout().toNanos()) {
+            entry.endInheritedAnswers();
+        }
         recordReadiness(entry);
         recordProgress(entry, now);
         List<InterferenceControl.ResidentTask> residents = state.residents(entry);
@@ -105,8 +108,7 @@
     }
 
     private void requestStops(WorkerEntry entry, long now) {
-        entry.stopping().removeIf(run -> !state.table().isLive(entry.incarnation(), run));
-        entry.sent().removeIf(run -> !state.table().isLive(entry.incarnation(), run));
+        entry.retainRuns(state.table().runsOn(entry.incarnation()));
         for (RunKey run : state.table().runsOn(entry.incarnation())) {
             if (!entry.stopping().contains(run)) {
                 stopReason(entry, run, now).ifPresent(reason -> state.requestStop(entry, run, reason));
@@ -116,7 +118,7 @@
 
     private void recordOverdueRuns(WorkerEntry entry, long now) {
         for (RunKey run : entry.newlyOverdue(state.table().runsOn(entry.incarnation()), now)) {
-            boolean sent = entry.sent().contains(run);
+            boolean sent = entry.wasStartSent(run);
             boolean stopping = entry.stopping().contains(run);
             state.events().unlisted(run, entry.incarnation(), sent, stopping);
         }
@@ -192,7 +194,7 @@
 
     private WorkerInstructions instructions(WorkerEntry entry) {
         List<WorkerInstructions.Start> starts = starts(entry);
-        starts.forEach(start -> entry.sent().add(start.run()));
+        starts.forEach(start -> entry.startSent(start.run()));
         return new WorkerInstructions(
                 state.times().lease().toMillis(),
                 acknowledged(entry),
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/SchedulerListener.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/SchedulerListener.java
@@ -55,6 +55,14 @@
      */
     void unlisted(RunKey run, WorkerIncarnation worker, boolean sent, boolean stopping);
 
+    /**
+     * Called when a run ends that was to stop before its worker started it.
+     *
+     * @param run the run
+     * @param worker the worker's incarnation
+     */
+    void neverStarted(RunKey run, WorkerIncarnation worker);
+
     /**
      * Called when the start of a run is about to be committed.
      *
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/SchedulerState.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/SchedulerState.java
@@ -28,6 +28,8 @@
     private final Map<TaskKey, Set<WorkerId>> avoidedWorkers = new HashMap<>();
     private final WaitLog waits;
     private final SlowWorkerDetector slowWorkers;
+    private final Set<RunKey> inheritedRuns = new HashSet<>();
+    private long takenOverNanos;
     private WorkerRegistry workers = new WorkerRegistry();
 
     SchedulerState(JobTable table, SchedulerTimes times, Predicate<ServiceName> declared, SchedulerListener events) {
@@ -72,9 +74,30 @@
     }
 
     /** Discards the reported state of workers, but keeps what was learned about images and failing workers. */
-    void forgetWorkers() {
+    void takeOver(long now) {
+        takenOverNanos = now;
         health.resetStarted();
         workers = new WorkerRegistry();
+        inheritedRuns.clear();
+        for (WorkerIncarnation worker : table.busyWorkers()) {
+            inheritedRuns.addAll(table.runsOn(worker));
+        }
+    }
+
+    long takenOverNanos() {
+        return takenOverNanos;
+    }
+
+    /** Returns whether a run was started by an earlier scheduler. */
+    boolean inherited(RunKey run) {
+        return inheritedRuns.contains(run);
+    }
+
+    /** Returns whether a run that ends may be followed by another run of its task. */
+    boolean mayRunAgain(TaskKey task) {
+        return table.find(task.job())
+                .filter(job -> !job.state().ended() && !job.task(task).completed())
+                .isPresent();
     }
 
     /** Returns whether a service is declared, or was when a job was accepted that the table still holds. */
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TransitionPlanner.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TransitionPlanner.java
@@ -27,14 +27,12 @@
     private final SchedulerState state;
     private final Map<JobId, Long> endedNanos = new HashMap<>();
     private final Set<JobId> givenUp = new HashSet<>();
-    private long takenOverNanos;
 
     TransitionPlanner(SchedulerState state) {
         this.state = state;
     }
 
     void takeOver(long now) {
-        takenOverNanos = now;
         for (JobRecord job : state.table().all()) {
             if (job.state().ended()) {
                 endedNanos.putIfAbsent(job.id(), now);
@@ -45,6 +43,7 @@
     List<JobTransition> plan(long now, long epochMillis) {
         List<JobTransition> plan = new ArrayList<>();
         planEnds(plan, now);
+        planEndsOfUnstarted(plan);
         planLosses(plan, now);
         planStarts(plan, now, epochMillis);
         planRemovals(plan, now);
@@ -65,6 +64,25 @@
         }
     }
 
+    /**
+     * Ends runs that are to stop and that no answer can start any more: no report ever lists them, so they would keep
+     * their capacity. Limited to tasks that have no further run, which a late listing of the run could overlap.
+     */
+    private void planEndsOfUnstarted(List<JobTransition> plan) {
+        for (WorkerEntry entry : state.workers().entries()) {
+            for (RunKey run : entry.stopping()) {
+                if (plan.size() < MAX_TRANSITIONS
+                        && state.table().isLive(entry.incarnation(), run)
+                        && !state.mayRunAgain(run.task())
+                        && entry.neverStarts(run, state.inherited(run))) {
+                    plan.add(new JobTransition.Ended(run, RunEnd.INTERRUPTED, ""));
+                    state.events().neverStarted(run, entry.incarnation());
+                    state.health().endedInconclusively(entry.id());
+                }
+            }
+        }
+    }
+
     private void recordEnd(WorkerEntry entry, WorkerReport.EndedRun end, long now) {
         state.events().ended(end, entry.incarnation());
         JobId job = end.run().task().job();
@@ -99,7 +117,7 @@
             return entry.get().lost(now);
         }
         return state.workers().superseded(incarnation)
-                || now - takenOverNanos >= state.times().inheritedLeaseBoundNanos();
+                || now - state.takenOverNanos() >= state.times().inheritedLeaseBoundNanos();
     }
 
     private String lossReason(WorkerIncarnation incarnation, Optional<WorkerEntry> entry) {
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/WorkerEntry.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/WorkerEntry.java
@@ -14,13 +14,16 @@
     /** How long a worker must list a run before the start of the run counts as survived; covers several reports. */
     private static final long PROVING_NANOS = TimeUnit.SECONDS.toNanos(2);
 
+    private static final long NO_SEQUENCE = Long.MIN_VALUE;
+
     private final WorkerIncarnation incarnation;
     private final Map<RunKey, RunObservation> observations = new HashMap<>();
     private final Map<RunKey, WorkerReport.EndedRun> ends = new LinkedHashMap<>();
     private final Set<RunKey> stopping = new HashSet<>();
-    private final Set<RunKey> sent = new HashSet<>();
+    private final Map<RunKey, Long> startsSent = new HashMap<>();
     private final UnlistedRuns unlisted = new UnlistedRuns();
     private WorkerReport report;
+    private long firstOwnSequence = NO_SEQUENCE;
     private long reportedNanos;
     private long leaseEndNanos;
     private long learnedNanos;
@@ -89,9 +92,47 @@
         return hasListed(run, reportedNanos - PROVING_NANOS);
     }
 
-    /** Returns the runs whose starts were sent in an answer. */
-    Set<RunKey> sent() {
-        return sent;
+    /** Records that the answer to the latest report contains the start of a run. */
+    void startSent(RunKey run) {
+        startsSent.put(run, report.sequence());
+    }
+
+    /** Returns whether the start of a run was sent in an answer of this scheduler. */
+    boolean wasStartSent(RunKey run) {
+        return startsSent.containsKey(run);
+    }
+
+    /** Discards what was recorded for runs that have ended. */
+    void retainRuns(Set<RunKey> live) {
+        stopping.retainAll(live);
+        startsSent.keySet().retainAll(live);
+    }
+
+    /**
+     * Returns whether a run that is to stop will never run on the worker: its latest report does not list the run and
+     * is newer than each report whose answer may have started it. A worker sends a report only once the answer to the
+     * one before has arrived or is too late to be obeyed.
+     *
+     * @param inherited whether the run was started by an earlier scheduler, which may have sent the start in an answer
+     *     that this scheduler does not know
+     */
+    boolean neverStarts(RunKey run, boolean inherited) {
+        if (!stopping.contains(run) || observations.containsKey(run) || ends.containsKey(run)) {
+            return false;
+        }
+        if (inherited && firstOwnSequence == NO_SEQUENCE) {
+            return false;
+        }
+        long latestStart =
+                Math.max(startsSent.getOrDefault(run, NO_SEQUENCE), inherited ? firstOwnSequence : NO_SEQUENCE);
+        return report.sequence() > latestStart;
+    }
+
+    /** Records that answers of earlier schedulers to the worker's reports are too late to be obeyed from now on. */
+    void endInheritedAnswers() {
+        if (firstOwnSequence == NO_SEQUENCE) {
+            firstOwnSequence = report.sequence();
+        }
     }
 
     /** Returns how a run without a reported end ends once the worker is lost. */
@@ -99,7 +140,7 @@
         if (hasSurvivedStart(run)) {
             return RunEnd.LOST_AFTER_START;
         }
-        return crashed && sent.contains(run) ? RunEnd.WORKER_CRASHED : RunEnd.INTERRUPTED;
+        return crashed && startsSent.containsKey(run) ? RunEnd.WORKER_CRASHED : RunEnd.INTERRUPTED;
     }
 
     /** Returns the reported ends that are not yet applied to the table. */
--- a/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobSchedulerTests.java
+++ b/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobSchedulerTests.java
@@ -277,6 +277,84 @@
         }
     }
 
+    /** Guards against capacity that canceled jobs keep for good, so that no task gets it any more. */
+    @Nested
+    class RunsCanceledBeforeTheyStart {
+        @BeforeEach
+        void commitTheStarts() {
+            accept("j1", JobFixtures.step(4, List.of()));
+            startAll(W1);
+        }
+
+        @Test
+        void endIfTheirStartsWereNotSent() {
+            cancel();
+            report(W1);
+            commit(plan());
+            assertThat(table.runsOn(W1)).isEmpty();
+        }
+
+        @Test
+        void endIfTheirWorkerDoesNotListThemAfterTheAnswerWithTheirStarts() {
+            assertThat(report(W1).starts()).hasSize(4);
+            cancel();
+            report(W1);
+            commit(plan());
+            assertThat(table.runsOn(W1)).isEmpty();
+        }
+
+        @Test
+        void stayLiveUntilTheirWorkerHasReportedAfterTheAnswerWithTheirStarts() {
+            assertThat(report(W1).starts()).hasSize(4);
+            cancel();
+            commit(plan());
+            assertThat(table.runsOn(W1)).hasSize(4);
+        }
+
+        @Test
+        void stayLiveWhileTheirWorkerListsThem() {
+            report(W1);
+            cancel();
+            report(W1, running("j1", 0, 1, 10));
+            commit(plan());
+            assertThat(table.runsOn(W1)).containsExactly(JobFixtures.run("j1", 0, 0, 1));
+        }
+
+        @Test
+        void endAfterATakeoverOnceNoAnswerOfThePredecessorCanStartThem() {
+            cancel();
+            table.apply(++index, new JobCommand.Acquire(HostId.of("h2")));
+            scheduler = newScheduler();
+            scheduler.takeOver(now);
+            now += TimeUnit.MILLISECONDS.toNanos(900);
+            report(W1);
+            report(W1);
+            commit(plan());
+            assertThat(table.runsOn(W1)).hasSize(4);
+            now += TimeUnit.MILLISECONDS.toNanos(100);
+            report(W1);
+            commit(plan());
+            assertThat(table.runsOn(W1)).hasSize(4);
+            report(W1);
+            commit(plan());
+            assertThat(table.runsOn(W1)).isEmpty();
+        }
+
+        @Test
+        void leaveTheirCapacityToOtherJobs() {
+            cancel();
+            report(W1);
+            commit(plan());
+            accept("j2", JobFixtures.step(4, List.of()));
+            commit(plan());
+            assertThat(table.runsOn(W1)).contains(JobFixtures.run("j2", 0, 3, 1));
+        }
+
+        private void cancel() {
+            table.apply(++index, new JobCommand.Cancel(JobId.of("j1")));
+        }
+    }
+
     @Nested
     class Placement {
         @Test
@@ -823,6 +901,9 @@
         @Override
         public void unlisted(RunKey run, WorkerIncarnation worker, boolean sent, boolean stopping) {}
 
+        @Override
+        public void neverStarted(RunKey run, WorkerIncarnation worker) {}
+
         @Override
         public void starting(RunKey run, WorkerIncarnation worker, long epoch) {}
 
--- a/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/SilentListener.java
+++ b/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/SilentListener.java
@@ -22,6 +22,9 @@
     @Override
     public void unlisted(RunKey run, WorkerIncarnation worker, boolean sent, boolean stopping) {}
 
+    @Override
+    public void neverStarted(RunKey run, WorkerIncarnation worker) {}
+
     @Override
     public void starting(RunKey run, WorkerIncarnation worker, long epoch) {}
 
