--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/WorkerEntry.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/WorkerEntry.java
@@ -154,9 +154,7 @@
 
     /** Returns the live runs that have become overdue in the worker's reports; each is returned once. */
     List<RunKey> newlyOverdue(Set<RunKey> live, long now) {
-        Set<RunKey> listed = new HashSet<>(observations.keySet());
-        listed.addAll(ends.keySet());
-        return unlisted.update(live, listed, now);
+        return unlisted.update(live, run -> observations.containsKey(run) || ends.containsKey(run), now);
     }
 
     void extendLease(long untilNanos) {
--- a/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobSchedulerTests.java
+++ b/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobSchedulerTests.java
@@ -207,13 +207,7 @@
         void delayARestartUntilTheyHaveCertainlyExpired() {
             accept("j1", JobFixtures.step(1, List.of()));
             startAll(W1);
-            now += TimeUnit.MILLISECONDS.toNanos(10_199);
-            report(W22);
-            commit(plan());
-            assertThat(table.runsOn(W1)).hasSize(1);
-            now += TimeUnit.MILLISECONDS.toNanos(400);
-            commit(plan());
-            assertThat(table.runsOn(W1)).isEmpty();
+            assertRunsEndWithTheLeaseOf(W1);
         }
 
         @Test
@@ -244,13 +238,7 @@
 
         @Test
         void keepTheirRunsUntilTheirLeasesHaveCertainlyExpired() {
-            now += TimeUnit.MILLISECONDS.toNanos(10_199);
-            report(W22);
-            commit(plan());
-            assertThat(table.runsOn(W1)).hasSize(1);
-            now += TimeUnit.MILLISECONDS.toNanos(400);
-            commit(plan());
-            assertThat(table.runsOn(W1)).isEmpty();
+            assertRunsEndWithTheLeaseOf(W1);
         }
 
         @Test
@@ -835,6 +823,17 @@
         scheduler.report(JobFixtures.report(successor, 1, held.address(), true, List.of(), List.of()), now);
     }
 
+    /** Checks that the only run of a worker that reports no longer ends once its lease has certainly expired. */
+    private void assertRunsEndWithTheLeaseOf(WorkerIncarnation worker) {
+        now += TimeUnit.MILLISECONDS.toNanos(10_199);
+        report(W22);
+        commit(plan());
+        assertThat(table.runsOn(worker)).hasSize(1);
+        now += TimeUnit.MILLISECONDS.toNanos(400);
+        commit(plan());
+        assertThat(table.runsOn(worker)).isEmpty();
+    }
+
     private void accept(String id, JobStep... steps) {
         table.apply(++index, JobFixtures.accept(id, steps));
     }
