Keep replicas in contact while their disks refuse writes

Cause: a replica whose disk takes no bytes stopped, and its process ended, on the first refused write. It neither answered its leader nor, as the leader, its followers, so a group without room on a majority of its disks had no leader at all, although leases need no writes. Class of fault: the failure of one function (storing) is treated as the failure of the whole process.

Now a refused write stops only what needs the disk. A follower answers that it stored nothing and doesn't vote; a leader remains in its term, and resigns once the others have committed an entry that it could not store. Changes are refused at once while a majority stores nothing. The disk is tried again after pauses from 100 ms to 1 s. Everything unacknowledged is written again then, and nothing is acknowledged before. A failed sync remains final.

Ruled out: letting the leader resign at once (no successor without a majority that can store a vote); voting without a stored vote (two leaders in one term).

--- a/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/consensus/CoreState.java
+++ b/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/consensus/CoreState.java
@@ -30,6 +30,9 @@
     Optional<Snapshot> snapshot;
     Optional<Snapshot> installedSnapshot = Optional.empty();
     long commitIndex;
+    /** Whether the storage refuses writes, so that this replica neither stores entries nor votes. */
+    boolean refusesWrites;
+
     long electionDeadline;
     /** The time of the last contact with a leader or, if this replica leads, with a majority. */
     long lastContact;
--- a/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/consensus/Elections.java
+++ b/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/consensus/Elections.java
@@ -29,11 +29,21 @@
         }
         state.resetElectionDeadline();
         state.clearLeader();
-        if (state.membership().isVoter(state.self)) {
+        if (state.membership().isVoter(state.self) && !state.refusesWrites) {
             startPreVote();
         }
     }
 
+    /** Gives up a candidacy that was not stored and therefore not sent. */
+    void withdraw(HardState stored) {
+        if (state.role == Role.CANDIDATE) {
+            state.hardState = stored;
+        }
+        if (!state.isLeader()) {
+            state.role = Role.FOLLOWER;
+        }
+    }
+
     /** Steps down and notifies the other voters. */
     void resign() {
         if (!state.isLeader()) {
@@ -64,6 +74,9 @@
     }
 
     void handleVoteRequest(HostId host, VoteRequest request) {
+        if (state.refusesWrites) {
+            return;
+        }
         if (!mayVoteFor(request.header().from()) || state.hasRecentLeaderContact()) {
             refuseVote(host, request);
             return;
--- a/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/consensus/Follower.java
+++ b/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/consensus/Follower.java
@@ -22,6 +22,13 @@
     void handleAppend(HostId host, AppendRequest request) {
         followLeader(host, request);
         long previous = request.previousIndex();
+        if (state.refusesWrites) {
+            if (state.log.term(previous) == request.previousTerm()) {
+                state.commitIndex = Math.max(state.commitIndex, Math.min(request.commitIndex(), previous));
+            }
+            respondNotStored(host, request, request.readRound());
+            return;
+        }
         if (previous >= state.log.baseIndex() && state.log.term(previous) != request.previousTerm()) {
             respond(host, request, false, lastPossibleMatch(previous));
             return;
@@ -34,6 +41,10 @@
 
     void handleChunk(HostId host, SnapshotChunk chunk) {
         followLeader(host, chunk);
+        if (state.refusesWrites) {
+            respondNotStored(host, chunk, chunk.readRound());
+            return;
+        }
         if (chunk.lastIndex() <= state.commitIndex) {
             acceptSnapshot(host, chunk);
             return;
@@ -93,6 +104,11 @@
                         request.readRound()));
     }
 
+    private void respondNotStored(HostId host, Message request, long readRound) {
+        state.sendAfterSync(
+                host, AppendResponse.notStored(state.headerTo(request.header().from()), readRound));
+    }
+
     private void install(HostId host, SnapshotChunk chunk, Snapshot snapshot) {
         Membership membership;
         try {
--- a/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/consensus/Leadership.java
+++ b/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/consensus/Leadership.java
@@ -95,6 +95,26 @@
         return state.now - (lagging ? Math.min(progress.lastHeard, progress.lastStored) : progress.lastHeard);
     }
 
+    /**
+     * Returns whether a majority of the voters, as far as this leader knows, stores entries. Otherwise no entry can be
+     * committed, although the leader remains in contact with a majority.
+     */
+    boolean majorityStores() {
+        return majorityValue(state.refusesWrites ? 0 : 1, progress -> progress.refusesWrites ? 0 : 1) == 1;
+    }
+
+    /** Ensures that there is an entry which shows, once it is committed, that the others store without this leader. */
+    void onRefused() {
+        if (state.isLeader() && state.log.persistedIndex() == state.log.lastIndex()) {
+            append(LogEntry.Kind.NO_OP, EMPTY_PAYLOAD);
+        }
+    }
+
+    /** Returns whether the others have committed an entry that this leader can't store. */
+    boolean othersStore() {
+        return state.isLeader() && state.refusesWrites && state.commitIndex > state.log.persistedIndex();
+    }
+
     /** Sends the entries, read confirmations and commit index that became due since the last call. */
     void flush() {
         if (!state.isLeader()) {
@@ -124,6 +144,7 @@
         if (progress == null) {
             return;
         }
+        progress.refusesWrites = response.isNotStored();
         if (response.accepted()) {
             progress.recordMatch(Math.min(response.index(), state.log.lastIndex()), state.now);
             advanceCommitIndex();
--- a/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/consensus/MembershipChanges.java
+++ b/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/consensus/MembershipChanges.java
@@ -114,9 +114,11 @@
                 && leadership.unresponsiveNanos(member.replica()) < PROMOTION_MAX_UNRESPONSIVE_NANOS;
     }
 
-    /** Returns whether the last membership change is committed, so that the next change may start. */
+    /** Returns whether the last membership change is committed and this leader can store the next one. */
     private boolean isLastChangeCommitted() {
-        return leadership.hasCommittedInOwnTerm() && state.memberships.currentIndex() <= state.commitIndex;
+        return !state.refusesWrites
+                && leadership.hasCommittedInOwnTerm()
+                && state.memberships.currentIndex() <= state.commitIndex;
     }
 
     private MembershipOutcome updateMember(Member current, Member desired) {
--- a/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/consensus/Message.java
+++ b/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/consensus/Message.java
@@ -80,7 +80,27 @@
      * @param readRound the read confirmation round of the request
      */
     record AppendResponse(Header header, boolean accepted, long previousIndex, long index, long readRound)
-            implements Message {}
+            implements Message {
+        /**
+         * Returns the answer of a replica that follows the leader but can't store entries.
+         *
+         * @param header the header
+         * @param readRound the read confirmation round of the request
+         * @return the answer, never null
+         */
+        static AppendResponse notStored(Header header, long readRound) {
+            return new AppendResponse(header, false, 0, 0, readRound);
+        }
+
+        /**
+         * Returns whether the sender can't store entries. No other refusal has previous index 0, which always matches.
+         *
+         * @return true for an answer of {@link #notStored}
+         */
+        boolean isNotStored() {
+            return !accepted && previousIndex == 0 && index == 0;
+        }
+    }
 
     /**
      * Carries a chunk of a snapshot.
--- a/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/consensus/Progress.java
+++ b/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/consensus/Progress.java
@@ -16,6 +16,8 @@
     long lastHeard;
     /** When the member last stored entries or had all committed ones. */
     long lastStored;
+    /** Whether the member answered last that it can't store entries. */
+    boolean refusesWrites;
     /** The commit index that was last sent to the member. */
     long announcedCommit;
     /** Whether a probe was sent and not answered yet. */
--- a/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/consensus/ReplicaCore.java
+++ b/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/consensus/ReplicaCore.java
@@ -25,7 +25,8 @@
  *
  * <p>The owner first calls {@link #tick} with the current time, then passes in messages and proposals, then processes
  * the result of {@link #ready()} and calls {@link #markPersisted()}, and repeats the last step until the {@link Ready}
- * is empty. All calls must come from one thread.
+ * is empty. If the storage refuses a write, the owner calls {@link #markRefused()} in place of it, and
+ * {@link #resumeWrites()} once the storage is usable again. All calls must come from one thread.
  *
  * @since 0.1
  */
@@ -37,6 +38,8 @@
     private final MembershipChanges membershipChanges;
     private HardState persistedHardState;
     private long deliveredIndex;
+    /** The value of {@link #deliveredIndex} before the last {@link Ready}. */
+    private long previouslyDeliveredIndex;
 
     private ReplicaCore(CoreState state) {
         this.state = state;
@@ -197,11 +200,11 @@
      *
      * @param appliedIndex the last index that the state contains; applied, and therefore committed and on disk
      * @param machineState the serialised state, not null
-     * @return the snapshot to write, empty if the current snapshot is at least as new
+     * @return the snapshot to write, empty if the current snapshot is at least as new or the storage refuses writes
      */
     public Optional<Snapshot> compact(long appliedIndex, byte[] machineState) {
         long newest = state.snapshot.map(Snapshot::lastIndex).orElse(0L);
-        if (appliedIndex <= newest || appliedIndex <= state.log.baseIndex()) {
+        if (state.refusesWrites || appliedIndex <= newest || appliedIndex <= state.log.baseIndex()) {
             return Optional.empty();
         }
         byte[] membership = state.memberships.at(appliedIndex).encode();
@@ -214,35 +217,105 @@
     }
 
     /**
-     * Returns the work to do now. The caller must follow each call with {@link #markPersisted()}.
+     * Returns the work to do now. The caller must follow each call with {@link #markPersisted()} or
+     * {@link #markRefused()}.
      *
      * @return the work, never null; an empty {@link Ready} if there is none
      */
     public Ready ready() {
+        if (leadership.othersStore()) {
+            elections.resign();
+        }
         leadership.flush();
         Optional<HardState> hardState =
                 Optional.of(state.hardState).filter(current -> !current.equals(persistedHardState));
+        previouslyDeliveredIndex = deliveredIndex;
+        Ready ready = state.refusesWrites ? readyWithoutWrites(hardState.isEmpty()) : readyWithWrites(hardState);
+        state.immediate.clear();
+        state.afterSync.clear();
+        return ready;
+    }
+
+    private Ready readyWithWrites(Optional<HardState> hardState) {
         deliveredIndex = Math.max(
                 deliveredIndex, state.installedSnapshot.map(Snapshot::lastIndex).orElse(0L));
-        List<LogEntry> committed = state.log.slice(deliveredIndex + 1, state.commitIndex);
-        Ready ready = new Ready(
+        return new Ready(
                 state.immediate,
                 hardState,
                 state.installedSnapshot,
                 state.log.unpersisted(),
                 state.afterSync,
-                committed,
+                deliverCommitted(),
                 leadership.reads().takeConfirmed(),
                 leadership.reads().takeFailed());
-        state.immediate.clear();
-        state.afterSync.clear();
-        state.installedSnapshot = Optional.empty();
+    }
+
+    /** Returns the work of a replica whose storage refuses writes; it answers only in a term that is on disk. */
+    private Ready readyWithoutWrites(boolean termStored) {
+        return new Ready(
+                state.immediate,
+                Optional.empty(),
+                Optional.empty(),
+                List.of(),
+                termStored ? state.afterSync : List.of(),
+                state.installedSnapshot.isPresent() ? List.of() : deliverCommitted(),
+                leadership.reads().takeConfirmed(),
+                leadership.reads().takeFailed());
+    }
+
+    private List<LogEntry> deliverCommitted() {
+        List<LogEntry> committed = state.log.slice(deliveredIndex + 1, state.commitIndex);
         deliveredIndex = Math.max(deliveredIndex, state.commitIndex);
-        return ready;
+        return committed;
+    }
+
+    /**
+     * Marks the writes in the last {@link Ready} as refused by the storage. The caller must not send the messages in
+     * {@code afterSync} and must not apply the snapshot and the committed entries; a later {@link Ready} carries them.
+     *
+     * <p>From then on this replica stores and acknowledges no entries and doesn't vote, but remains in contact with its
+     * leader. A leader remains the leader until the others have shown that they can store entries without it.
+     */
+    public void markRefused() {
+        deliveredIndex = previouslyDeliveredIndex;
+        state.refusesWrites = true;
+        elections.withdraw(persistedHardState);
+        leadership.onRefused();
+    }
+
+    /** Continues to write after the storage has refused writes. The next {@link Ready} carries all that is missing. */
+    public void resumeWrites() {
+        state.refusesWrites = false;
+    }
+
+    /**
+     * Returns whether the storage of this replica refuses writes.
+     *
+     * @return true from {@link #markRefused()} to {@link #resumeWrites()}
+     */
+    public boolean refusesWrites() {
+        return state.refusesWrites;
+    }
+
+    /**
+     * Returns whether this replica leads and, as far as it knows, a majority of the voters can store entries.
+     *
+     * @return true if a proposal can be committed now
+     */
+    public boolean canCommit() {
+        return state.isLeader() && leadership.majorityStores();
     }
 
-    /** Marks all writes in the last {@link Ready} as on disk. */
+    /**
+     * Marks all writes in the last {@link Ready} as on disk. Has no effect while the storage refuses writes, since the
+     * {@link Ready} contained none.
+     */
     public void markPersisted() {
+        previouslyDeliveredIndex = deliveredIndex;
+        if (state.refusesWrites) {
+            return;
+        }
+        state.installedSnapshot = Optional.empty();
         persistedHardState = state.hardState;
         state.log.markPersisted(state.log.lastIndex());
         elections.onPersisted();
--- a/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/journal/AtomicFiles.java
+++ b/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/journal/AtomicFiles.java
@@ -26,17 +26,35 @@
     /**
      * Writes a file under a temporary name, syncs it, renames it and syncs the folder.
      *
-     * @throws IOException if any step fails; the file may or may not exist
+     * @throws RefusedWriteException if the temporary file can't be written; nothing else has changed
+     * @throws IOException if a later step fails; the file may or may not exist
      */
     static void write(FileOperations operations, Path file, byte[]... parts) throws IOException {
         Path temporary = file.resolveSibling(file.getFileName() + TEMPORARY_SUFFIX);
-        try (FileOperations.WritableFile output = operations.create(temporary)) {
-            for (byte[] part : parts) {
-                output.write(part, part.length);
-            }
+        try (FileOperations.WritableFile output = create(operations, temporary)) {
+            write(output, parts);
             output.force();
         }
         operations.rename(temporary, file);
         operations.forceFolder(file.getParent());
     }
+
+    private static FileOperations.WritableFile create(FileOperations operations, Path file)
+            throws RefusedWriteException {
+        try {
+            return operations.create(file);
+        } catch (IOException e) {
+            throw new RefusedWriteException(e);
+        }
+    }
+
+    private static void write(FileOperations.WritableFile output, byte[]... parts) throws RefusedWriteException {
+        try {
+            for (byte[] part : parts) {
+                output.write(part, part.length);
+            }
+        } catch (IOException e) {
+            throw new RefusedWriteException(e);
+        }
+    }
 }
--- a/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/journal/FileReplicaStorage.java
+++ b/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/journal/FileReplicaStorage.java
@@ -44,6 +44,8 @@
     private SegmentWriter writer;
     private SyncMark syncMark;
     private WaxwingheadException failure;
+    /** Whether the failure is a refused write. */
+    private boolean refusesWrites;
 
     private FileReplicaStorage(FileOperations operations, Path folder, int segmentBytes) {
         this.operations = operations;
@@ -207,9 +209,10 @@
 
     private void roll(long firstIndex, long previousTerm, boolean reset) throws IOException {
         syncSegment();
-        writer.close();
         SegmentHeader next = new SegmentHeader(writer.sequence() + 1, firstIndex, previousTerm, reset, hardState);
-        writer = SegmentWriter.create(operations, folder, next);
+        SegmentWriter nextWriter = SegmentWriter.create(operations, folder, next);
+        writer.close();
+        writer = nextWriter;
         segments.add(next);
     }
 
@@ -220,10 +223,40 @@
 
     private void syncSegment() throws IOException {
         if (writer.sync()) {
+            writeSyncMark();
+        }
+    }
+
+    /** Writes the sync mark. The synced records are on disk even if that fails, so only the next write is refused. */
+    private void writeSyncMark() {
+        try {
             syncMark.write(writer.sequence(), writer.offset());
+        } catch (IOException e) {
+            failure = StorageFailures.failed(folder.resolve(SyncMark.FILE_NAME), "write to", e);
+            refusesWrites = true;
         }
     }
 
+    @Override
+    public boolean refusesWrites() {
+        return refusesWrites;
+    }
+
+    @Override
+    public void resume() {
+        if (refusesWrites) {
+            failure = null;
+            refusesWrites = false;
+            run("write to", () -> {
+                deleteTemporaryFiles();
+                writer = writer.reopen(operations, folder);
+                writer.append(hardState);
+                syncSegment();
+            });
+        }
+        checkUsable();
+    }
+
     @Override
     public void writeSnapshot(Snapshot snapshot) {
         if (snapshot.lastIndex() < snapshotIndex) {
@@ -269,6 +302,7 @@
             action.run();
         } catch (IOException e) {
             failure = StorageFailures.failed(writer.file(), operation, e);
+            refusesWrites = e instanceof RefusedWriteException;
             throw failure;
         }
     }
@@ -288,6 +322,7 @@
         if (failure == null) {
             failure = WaxwingheadException.of(ErrorKind.STORAGE, folder + " is closed", "open the storage again");
         }
+        refusesWrites = false;
         if (writer != null) {
             closer.register(writer);
             writer = null;
--- a/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/journal/SegmentWriter.java
+++ b/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/journal/SegmentWriter.java
@@ -38,11 +38,27 @@
     static SegmentWriter openAt(FileOperations operations, Path folder, SegmentHeader header, int offset)
             throws IOException {
         Path file = folder.resolve(header.fileName());
-        FileOperations.WritableFile output = operations.openAt(file, offset);
+        FileOperations.WritableFile output = openAt(operations, file, offset);
         output.force();
         return new SegmentWriter(file, header, output, offset);
     }
 
+    private static FileOperations.WritableFile openAt(FileOperations operations, Path file, int offset)
+            throws RefusedWriteException {
+        try {
+            return operations.openAt(file, offset);
+        } catch (IOException e) {
+            throw new RefusedWriteException(e);
+        }
+    }
+
+    /** Returns a writer that continues after the last complete record, and closes this one. */
+    SegmentWriter reopen(FileOperations operations, Path folder) throws IOException {
+        SegmentWriter reopened = openAt(operations, folder, header, offset);
+        close();
+        return reopened;
+    }
+
     Path file() {
         return file;
     }
@@ -89,7 +105,11 @@
     }
 
     private void flush() throws IOException {
-        output.write(buffer.array(), buffer.position());
+        try {
+            output.write(buffer.array(), buffer.position());
+        } catch (IOException e) {
+            throw new RefusedWriteException(e);
+        }
         offset = Math.addExact(offset, buffer.position());
     }
 
--- a/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/journal/SyncMark.java
+++ b/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/journal/SyncMark.java
@@ -53,14 +53,13 @@
     }
 
     void write(long segment, long offset) throws IOException {
-        generation++;
-        ByteBuffer slot = ByteBuffer.allocate(SLOT_BYTES)
-                .putLong(generation)
-                .putLong(segment)
-                .putLong(offset);
+        long next = generation + 1;
+        ByteBuffer slot =
+                ByteBuffer.allocate(SLOT_BYTES).putLong(next).putLong(segment).putLong(offset);
         slot.putInt(Checksums.of(slot.array(), 0, 3 * Long.BYTES));
-        output.seek(generation % SLOT_COUNT * SLOT_BYTES);
+        output.seek(next % SLOT_COUNT * SLOT_BYTES);
         output.write(slot.array(), SLOT_BYTES);
+        generation = next;
     }
 
     private static Position position(ByteBuffer slots, int start) {
--- a/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/replica/ReplicaCounters.java
+++ b/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/replica/ReplicaCounters.java
@@ -14,6 +14,7 @@
     final LongAdder sentBytes = new LongAdder();
     final LongAdder writtenEntries = new LongAdder();
     final LongAdder syncs = new LongAdder();
+    final LongAdder refusedWrites = new LongAdder();
     final LongAdder leaderChanges = new LongAdder();
     final LongAdder snapshotsTaken = new LongAdder();
     final LongAdder snapshotsInstalled = new LongAdder();
@@ -75,6 +76,15 @@
         return syncs.sum();
     }
 
+    /**
+     * Returns the number of writes that the storage refused, attempts to resume included.
+     *
+     * @return the count
+     */
+    public long refusedWrites() {
+        return refusedWrites.sum();
+    }
+
     /**
      * Returns the number of changes of the known leader.
      *
--- a/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/replica/ReplicaLoop.java
+++ b/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/replica/ReplicaLoop.java
@@ -34,6 +34,8 @@
     private static final long TICK_MILLIS = 20;
     private static final int MAX_EVENTS_PER_SYNC = 2048;
     private static final int MAX_QUEUED_EVENTS = 16_384;
+    private static final long MIN_RESUME_PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+    private static final long MAX_RESUME_PAUSE_NANOS = TimeUnit.SECONDS.toNanos(1);
 
     private final ReplicaSettings settings;
     private final ReplicaStorage storage;
@@ -53,6 +55,10 @@
     private volatile boolean terminated;
 
     private volatile ReplicaView view;
+    /** The next time to try to resume the storage while it refuses writes. */
+    private long resumeDeadline;
+
+    private long resumePauseNanos;
     private Optional<HostId> lastLeader = Optional.empty();
 
     ReplicaLoop(
@@ -168,6 +174,9 @@
         if (event != null) {
             event.run();
         }
+        if (core.refusesWrites() && now - resumeDeadline >= 0) {
+            resumeStorage();
+        }
         joiner.tick(now);
         requestTracker.tick(now);
         Ready ready = core.ready();
@@ -180,17 +189,53 @@
 
     private void process(Ready ready) {
         ready.immediate().forEach(this::send);
-        write(ready);
-        core.markPersisted();
-        ready.afterSync().forEach(this::send);
-        ready.snapshot().ifPresent(applier::restore);
-        if (!ready.committed().isEmpty()) {
-            applier.apply(ready.committed());
+        if (isStored(() -> write(ready))) {
+            core.markPersisted();
+            ready.afterSync().forEach(this::send);
+            ready.snapshot().ifPresent(applier::restore);
+            if (!ready.committed().isEmpty()) {
+                applier.apply(ready.committed());
+            }
         }
         ready.confirmedReads().forEach(requestTracker::completeRead);
         ready.failedReads().forEach(requestTracker::retryRead);
     }
 
+    /** Runs a write; returns false if the storage refuses it. */
+    private boolean isStored(Runnable write) {
+        try {
+            write.run();
+            return true;
+        } catch (WaxwingheadException e) {
+            if (!storage.refusesWrites()) {
+                throw e;
+            }
+            counters.refusedWrites.increment();
+            LOG.errorf(
+                    "storage-refused: %s stores nothing until the disk accepts writes: %s",
+                    settings.host(), e.getMessage());
+            core.markRefused();
+            resumePauseNanos = MIN_RESUME_PAUSE_NANOS;
+            resumeDeadline = ticker.nanos() + resumePauseNanos;
+            return false;
+        }
+    }
+
+    private void resumeStorage() {
+        try {
+            storage.resume();
+            core.resumeWrites();
+            LOG.infof("storage-resumed: the disk of %s accepts writes again", settings.host());
+        } catch (WaxwingheadException e) {
+            if (!storage.refusesWrites()) {
+                throw e;
+            }
+            counters.refusedWrites.increment();
+            resumePauseNanos = Math.min(2 * resumePauseNanos, MAX_RESUME_PAUSE_NANOS);
+            resumeDeadline = ticker.nanos() + resumePauseNanos;
+        }
+    }
+
     private void write(Ready ready) {
         ready.hardState().ifPresent(storage::writeHardState);
         ready.snapshot().ifPresent(snapshot -> {
@@ -235,8 +280,9 @@
 
     private void storeSnapshot(long index, byte[] state) {
         execute(() -> core.compact(index, state).ifPresent(snapshot -> {
-            storage.writeSnapshot(snapshot);
-            counters.snapshotsTaken.increment();
+            if (isStored(() -> storage.writeSnapshot(snapshot))) {
+                counters.snapshotsTaken.increment();
+            }
         }));
     }
 
--- a/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/replica/RequestTracker.java
+++ b/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/replica/RequestTracker.java
@@ -128,7 +128,9 @@
     }
 
     private void startAtLeader(Request request) {
-        if (request.kind instanceof RequestKind.Proposal proposal) {
+        if (request.kind.changesState() && !core.canCommit()) {
+            request.abort("a majority of the voters can't write to their disks");
+        } else if (request.kind instanceof RequestKind.Proposal proposal) {
             OptionalLong index = core.propose(proposal.command());
             request.mayHaveEffect = true;
             applier.awaitResult(index.orElseThrow(), core.term(), request);
--- a/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/storage/ReplicaStorage.java
+++ b/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/storage/ReplicaStorage.java
@@ -9,7 +9,8 @@
  *
  * <p>A storage is used by one thread at a time. Writes are durable only after {@link #sync()} has returned. Before
  * that, a crash may lose any suffix of the writes, but never an earlier write without the later ones. After a failed
- * sync every later call fails, because a file system may report a write error only once. All failures are
+ * sync every later call fails, because a file system may report a write error only once. After a refused write, such as
+ * on a full disk, every later call fails until {@link #resume()} succeeds. All failures are
  * {@link dev.waxwinghead.model.error.WaxwingheadException}s of kind {@code STORAGE}.
  *
  * @since 0.1
@@ -62,6 +63,23 @@
      */
     void writeSnapshot(Snapshot snapshot);
 
+    /**
+     * Returns whether the last failure was a refused write, which left everything stored before intact.
+     *
+     * @return true if {@link #resume()} may make the storage usable again
+     */
+    default boolean refusesWrites() {
+        return false;
+    }
+
+    /**
+     * Makes the storage usable again after a refused write, if a write and a sync succeed now.
+     *
+     * @throws dev.waxwinghead.model.error.WaxwingheadException if the storage remains unusable;
+     *     {@link #refusesWrites()} returns whether a later call may succeed
+     */
+    default void resume() {}
+
     @Override
     void close();
 
--- a/waxwinghead-coordination/src/test/java/dev/waxwinghead/coordination/journal/FaultyFileOperations.java
+++ b/waxwinghead-coordination/src/test/java/dev/waxwinghead/coordination/journal/FaultyFileOperations.java
@@ -16,6 +16,7 @@
     private final Map<Path, Long> lengths = new HashMap<>();
     private final Map<Path, Long> forcedLengths = new HashMap<>();
     private int remainingOperations;
+    private int remainingWrites = Integer.MAX_VALUE;
     private boolean failForce;
 
     FaultyFileOperations(UniformRandomProvider random, int remainingOperations) {
@@ -31,6 +32,11 @@
         remainingOperations = operations;
     }
 
+    /** Makes writes fail after the given number, the first of them half-way, while all other operations succeed. */
+    void refuseWritesAfter(int writes) {
+        remainingWrites = writes;
+    }
+
     /** Simulates a power failure: flips a bit in and truncates each file at random offsets past its synced length. */
     void simulatePowerFailure(Path folder) throws IOException {
         files.delete(folder.resolve(SyncMark.FILE_NAME));
@@ -120,6 +126,10 @@
 
         @Override
         public void write(byte[] bytes, int length) throws IOException {
+            if (remainingWrites-- <= 0) {
+                delegate.write(bytes, remainingWrites == -1 ? length / 2 : 0);
+                throw new IOException("No space left on device");
+            }
             boolean last = consumeOperation();
             int written = last ? random.nextInt(length + 1) : length;
             delegate.write(bytes, written);
--- a/waxwinghead-coordination/src/test/java/dev/waxwinghead/coordination/journal/FileReplicaStorageTests.java
+++ b/waxwinghead-coordination/src/test/java/dev/waxwinghead/coordination/journal/FileReplicaStorageTests.java
@@ -359,6 +359,59 @@
             assertThat(texts(entries(1, 1, 9))).containsAtLeastElementsIn(kept).inOrder();
         }
 
+        @Test
+        void acceptWritesAgainAfterARefusalAtAnyWrite() {
+            int segmentOfAFewRecords = 100;
+            for (int writes = 0; writes < 12; writes++) {
+                Path data = parent.resolve("refused-" + writes);
+                try (FileReplicaStorage storage = FileReplicaStorage.open(data, CLUSTER, segmentOfAFewRecords, files)) {
+                    long next = 1;
+                    files.refuseWritesAfter(writes);
+                    while (!isRefused(storage, entries(1, next, next))) {
+                        next++;
+                    }
+                    assertThat(storage.refusesWrites()).isTrue();
+                    assertThrows(WaxwingheadException.class, storage::resume);
+                    assertThat(storage.refusesWrites()).isTrue();
+                    files.refuseWritesAfter(Integer.MAX_VALUE);
+                    storage.resume();
+                    assertThat(storage.refusesWrites()).isFalse();
+                    storage.append(entries(1, next, 30));
+                    storage.sync();
+                }
+                try (FileReplicaStorage reopened = FileReplicaStorage.open(data, CLUSTER)) {
+                    assertWithMessage("writes before the refusal: %s", writes)
+                            .that(texts(reopened.recovered().entries()))
+                            .isEqualTo(texts(entries(1, 1, 30)));
+                }
+            }
+        }
+
+        @Test
+        void keepTheLogAfterARefusedSnapshot() {
+            try (FileReplicaStorage storage = FileReplicaStorage.open(folder, CLUSTER, 1 << 20, files)) {
+                storage.append(entries(1, 1, 3));
+                storage.sync();
+                files.refuseWritesAfter(0);
+                assertThrows(WaxwingheadException.class, () -> storage.writeSnapshot(snapshot(2, 1)));
+                files.refuseWritesAfter(Integer.MAX_VALUE);
+                storage.resume();
+                storage.append(entries(1, 4, 5));
+                storage.sync();
+            }
+            assertThat(texts(reopen().entries())).isEqualTo(texts(entries(1, 1, 5)));
+        }
+
+        private static boolean isRefused(FileReplicaStorage storage, List<LogEntry> entries) {
+            try {
+                storage.append(entries);
+                storage.sync();
+                return false;
+            } catch (WaxwingheadException e) {
+                return true;
+            }
+        }
+
         @Test
         void keepTheSyncMarkWhenTheDiskIsFullDuringOpening() throws IOException {
             long last = 0;
--- a/waxwinghead-coordination/src/test/java/dev/waxwinghead/coordination/replica/FaultyStorage.java
+++ b/waxwinghead-coordination/src/test/java/dev/waxwinghead/coordination/replica/FaultyStorage.java
@@ -15,6 +15,10 @@
     private final ReplicaStorage storage;
     private volatile CountDownLatch syncGate = new CountDownLatch(0);
     private volatile boolean failingSyncs;
+    private volatile boolean refusingWrites;
+    /** Whether a write was refused since the last resumption. */
+    private boolean writeRefused;
+
     private volatile Error syncError;
 
     FaultyStorage(ReplicaStorage storage) {
@@ -33,6 +37,10 @@
         failingSyncs = true;
     }
 
+    void refuseWrites(boolean refuse) {
+        refusingWrites = refuse;
+    }
+
     void failSyncsWith(Error error) {
         syncError = error;
     }
@@ -54,11 +62,13 @@
 
     @Override
     public void writeHardState(HardState state) {
+        checkAccepted();
         storage.writeHardState(state);
     }
 
     @Override
     public void append(List<LogEntry> entries) {
+        checkAccepted();
         storage.append(entries);
     }
 
@@ -80,9 +90,30 @@
 
     @Override
     public void writeSnapshot(Snapshot snapshot) {
+        checkAccepted();
         storage.writeSnapshot(snapshot);
     }
 
+    @Override
+    public boolean refusesWrites() {
+        return writeRefused;
+    }
+
+    @Override
+    public void resume() {
+        if (!refusingWrites) {
+            writeRefused = false;
+        }
+        checkAccepted();
+    }
+
+    private void checkAccepted() {
+        writeRefused |= refusingWrites;
+        if (writeRefused) {
+            throw WaxwingheadException.of(ErrorKind.STORAGE, "no space left on segment-1", "free space on the disk");
+        }
+    }
+
     @Override
     public void close() {
         storage.close();
--- a/waxwinghead-coordination/src/test/java/dev/waxwinghead/coordination/replica/ReplicaNodeTests.java
+++ b/waxwinghead-coordination/src/test/java/dev/waxwinghead/coordination/replica/ReplicaNodeTests.java
@@ -4,6 +4,7 @@
 import static java.nio.charset.StandardCharsets.UTF_8;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import dev.waxwinghead.coordination.consensus.ConsensusSettings;
 import dev.waxwinghead.coordination.log.LogStatus.Role;
 import dev.waxwinghead.coordination.memory.MemoryStorage;
 import dev.waxwinghead.coordination.peer.PeerChannel;
@@ -327,6 +328,94 @@
         }
     }
 
+    @Nested
+    class RefusedWrites {
+        private static final Duration SEVERAL_ELECTION_TIMEOUTS =
+                ConsensusSettings.defaults().electionTimeoutMax().multipliedBy(4);
+
+        @Test
+        void leaderIsSucceededByAHostThatStoresAndCatchesUpOnceItStoresAgain() {
+            try (TestCluster cluster = TestCluster.start(3, 0, 1000)) {
+                Host leader = cluster.leader();
+                proposeChanges(leader, 1);
+                leader.faultyStorage().refuseWrites(true);
+                CompletableFuture<byte[]> interrupted = leader.propose("interrupted", REQUEST_TIMEOUT);
+                Host successor = awaitSuccessor(cluster, leader);
+                successor.propose("accepted").join();
+                assertThat(leader.node().failure().isDone()).isFalse();
+                leader.faultyStorage().refuseWrites(false);
+                successor.propose("more").join();
+                interrupted.handle((result, failure) -> null).join();
+                awaitWithin(
+                        TestCluster.TIMEOUT, leader, successor.stateMachine().all());
+            }
+        }
+
+        @Test
+        void leaderKeepsItsTermAndItsReadsWhileNoHostStores() throws InterruptedException {
+            try (TestCluster cluster = TestCluster.start(3, 0, 1000)) {
+                Host leader = cluster.leader();
+                proposeChanges(leader, 1);
+                long term = leader.node().status().term();
+                cluster.hosts().forEach(host -> host.faultyStorage().refuseWrites(true));
+                CompletableFuture<byte[]> first = leader.propose("first");
+                long endNanos = System.nanoTime() + SEVERAL_ELECTION_TIMEOUTS.toNanos();
+                while (System.nanoTime() - endNanos < 0) {
+                    assertThat(leader.node().status().majorityInReach()).isTrue();
+                    assertThat(leader.node().status().leader()).hasValue(leader.id());
+                    TimeUnit.MILLISECONDS.sleep(20);
+                }
+                leader.readBarrier(REQUEST_TIMEOUT).join();
+                assertThat(failureKind(leader.propose("refused", REQUEST_TIMEOUT)))
+                        .isEqualTo(ErrorKind.NO_MAJORITY);
+                cluster.hosts().forEach(host -> host.faultyStorage().refuseWrites(false));
+                first.join();
+                leader.propose("last").join();
+                assertThat(leader.node().status().term()).isEqualTo(term);
+                assertThat(leader.stateMachine().all())
+                        .containsExactly("change 1", "first", "last")
+                        .inOrder();
+            }
+        }
+
+        @Test
+        void changesFailAtOnceWhileTheFollowersDontStore() {
+            try (TestCluster cluster = TestCluster.start(3, 0, 1000)) {
+                Host leader = cluster.leader();
+                proposeChanges(leader, 1);
+                cluster.hosts().stream()
+                        .filter(host -> !host.equals(leader))
+                        .forEach(host -> host.faultyStorage().refuseWrites(true));
+                CompletableFuture<byte[]> first = leader.propose("first");
+                TestCluster.await(
+                        () -> cluster.hosts().stream()
+                                .filter(host -> !host.equals(leader))
+                                .allMatch(host -> host.node().counters().refusedWrites() > 0),
+                        "the followers to refuse");
+                TestCluster.await(
+                        () -> leader.propose("refused", Duration.ofMillis(50)).isCompletedExceptionally(),
+                        "the leader to know");
+                cluster.hosts().forEach(host -> host.faultyStorage().refuseWrites(false));
+                first.join();
+            }
+        }
+
+        @Test
+        void refusedSnapshotsStopNoReplica() {
+            try (TestCluster cluster = TestCluster.start(3, 0, 10)) {
+                Host leader = cluster.leader();
+                Host follower = anyBut(cluster, leader);
+                follower.faultyStorage().refuseWrites(true);
+                for (int i = 0; i < 10; i++) {
+                    proposeChanges(leader, 10);
+                }
+                follower.faultyStorage().refuseWrites(false);
+                proposeChanges(leader, 1);
+                awaitWithin(TestCluster.TIMEOUT, follower, leader.stateMachine().all());
+            }
+        }
+    }
+
     @Nested
     class Removals {
         @Test
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobHost.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobHost.java
@@ -23,6 +23,7 @@
 import dev.waxwinghead.model.time.Ticker;
 import dev.waxwinghead.scheduling.job.WorkerInstructions;
 import dev.waxwinghead.scheduling.job.WorkerReport;
+import io.micrometer.core.instrument.FunctionCounter;
 import io.micrometer.core.instrument.MeterRegistry;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -105,6 +106,8 @@
                 storage,
                 network,
                 ticker));
+        FunctionCounter.builder("waxwinghead.log.writes.refused", log.counters(), counters -> counters.refusedWrites())
+                .register(meters);
         SharedState sharedState = LogSharedState.of(log);
         JobEngine engine = closer.register(new JobEngine(
                 settings.self(),
