Grant leases while plans can't be committed

Cause: the engine gave up its epoch after one plan whose commit failed or remained unknown, and granted no lease until it had acquired another epoch, which needs a commit as well.

Now it keeps the epoch for answers to reports and only suspends planning until it has acquired a new one, with pauses from 100 ms to 1 s. A lease needs no commit: authority is checked for each answer, and another scheduler can act only after the log's leader has changed.

--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobEngine.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobEngine.java
@@ -54,7 +54,8 @@
      */
     private static final Duration COMMIT_TIMEOUT = Duration.ofSeconds(10);
 
-    private static final long RETRY_DELAY_MILLIS = 100;
+    private static final long MIN_RETRY_DELAY_MILLIS = 100;
+    private static final long MAX_RETRY_DELAY_MILLIS = 1000;
 
     /** The interval at which held answers are checked; answers are late by at most this. */
     private static final long ANSWER_CHECK_INTERVAL_MILLIS = 25;
@@ -80,6 +81,14 @@
     /** Guarded by the table's monitor. */
     private final HeldAnswers held = new HeldAnswers();
 
+    /**
+     * Whether a plan was not committed, or it is not known whether it was. Until this host has acquired a new epoch, it
+     * continues to answer reports, so that runs keep their leases, but plans nothing. Used by the engine's thread only.
+     */
+    private boolean planUnresolved;
+
+    private long retryDelayMillis = MIN_RETRY_DELAY_MILLIS;
+
     /** The epoch in which this host acts, or {@link #NO_EPOCH}. Guarded by the table's monitor. */
     private long ownEpoch = NO_EPOCH;
 
@@ -259,19 +268,23 @@
             return;
         }
         if (!current) {
-            takeOver();
+            resign("superseded");
+        }
+        if (!current || planUnresolved) {
+            acquire();
             return;
         }
         commitPlan();
     }
 
-    private void takeOver() throws InterruptedException {
-        resign("superseded");
-        JobCommand.Acquire acquire = new JobCommand.Acquire(self);
-        if (!propose(acquire)) {
-            Thread.sleep(RETRY_DELAY_MILLIS);
+    private void acquire() throws InterruptedException {
+        if (!propose(new JobCommand.Acquire(self))) {
+            Thread.sleep(retryDelayMillis);
+            retryDelayMillis = Math.min(2 * retryDelayMillis, MAX_RETRY_DELAY_MILLIS);
             return;
         }
+        retryDelayMillis = MIN_RETRY_DELAY_MILLIS;
+        planUnresolved = false;
         synchronized (table) {
             ownEpoch = table.epoch();
             scheduler.takeOver(ticker.nanos());
@@ -293,7 +306,12 @@
             answerStarted(plan);
             wake();
         } else {
-            resign("commit-failed");
+            planUnresolved = true;
+            Event.of("planning-suspended")
+                    .with("host", self)
+                    .with("epoch", epoch)
+                    .with("reason", "commit-failed")
+                    .write();
         }
     }
 
