--- a/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/jobs/JobEngineTests.java
+++ b/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/jobs/JobEngineTests.java
@@ -5,16 +5,32 @@
 import dev.waxwinghead.coordination.log.LogStatus;
 import dev.waxwinghead.daemon.state.SectionId;
 import dev.waxwinghead.daemon.state.SharedState;
+import dev.waxwinghead.model.error.ErrorKind;
+import dev.waxwinghead.model.error.WaxwingheadException;
 import dev.waxwinghead.model.id.HostId;
+import dev.waxwinghead.model.id.JobClassName;
+import dev.waxwinghead.model.id.JobId;
 import dev.waxwinghead.model.id.ReplicaId;
+import dev.waxwinghead.model.id.ServiceName;
+import dev.waxwinghead.model.id.WorkerId;
 import dev.waxwinghead.model.lifecycle.Closer;
+import dev.waxwinghead.model.resource.Resources;
 import dev.waxwinghead.model.time.Deadline;
 import dev.waxwinghead.model.time.Ticker;
+import dev.waxwinghead.scheduling.job.JobCommand;
+import dev.waxwinghead.scheduling.job.JobSchedule;
+import dev.waxwinghead.scheduling.job.JobStep;
+import dev.waxwinghead.scheduling.job.JobSubmission;
+import dev.waxwinghead.scheduling.job.JobTerms;
 import dev.waxwinghead.scheduling.job.SchedulerTimes;
+import dev.waxwinghead.scheduling.job.WorkerIncarnation;
+import dev.waxwinghead.scheduling.job.WorkerInstructions;
+import dev.waxwinghead.scheduling.job.WorkerReport;
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -51,6 +67,116 @@
         assertThat(state.proposed.await(5, TimeUnit.SECONDS)).isTrue();
     }
 
+    @Test
+    void leasesAreGrantedWhileNoPlanCanBeCommitted() throws Exception {
+        Committing committing = new Committing();
+        JobEngine engine = closer.register(new JobEngine(
+                SELF,
+                committing,
+                committing.section.table(),
+                new SchedulingAuthority(committing, Ticker.system(), System::currentTimeMillis),
+                new SchedulerTimes(
+                        Duration.ofSeconds(10), Duration.ofSeconds(2), Duration.ofSeconds(60), Duration.ofMillis(100)),
+                service -> true,
+                new EngineEvents(new SimpleMeterRegistry()),
+                Ticker.system(),
+                System::currentTimeMillis));
+        committing.section.onChange(engine::wake);
+        engine.start();
+        long endNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(5);
+        while (!engine.acting()) {
+            assertThat(System.nanoTime() - endNanos).isLessThan(0L);
+            TimeUnit.MILLISECONDS.sleep(10);
+        }
+        assertThat(report(engine, 1)).isPresent();
+        committing.refusing = true;
+        committing.acceptLastingJob();
+        assertThat(committing.refused.await(5, TimeUnit.SECONDS)).isTrue();
+        for (int sequence = 2; sequence < 6; sequence++) {
+            Optional<WorkerInstructions> answer = report(engine, sequence);
+            assertThat(answer).isPresent();
+            assertThat(answer.get().leaseMillis()).isGreaterThan(0);
+            assertThat(answer.get().starts()).isEmpty();
+        }
+        committing.refusing = false;
+        int sequence = 6;
+        // While the engine acquires an epoch, an answer may be empty.
+        while (report(engine, sequence).map(answer -> answer.starts().isEmpty()).orElse(true)) {
+            assertThat(sequence++).isLessThan(100);
+        }
+    }
+
+    private static Optional<WorkerInstructions> report(JobEngine engine, long sequence) throws Exception {
+        WorkerReport report = new WorkerReport(
+                new WorkerIncarnation(WorkerId.of("w1"), 1),
+                sequence,
+                ServiceName.of("s"),
+                "10.0.0.9:8080",
+                Resources.of(16_000, 1L << 30, 0),
+                Set.of(),
+                "",
+                false,
+                0,
+                List.of(),
+                List.of());
+        return engine.report(report).get(5, TimeUnit.SECONDS);
+    }
+
+    /** Applies commands at once, or refuses them as a log without a majority of disks does. */
+    private static final class Committing implements SharedState {
+        private final JobSection section = new JobSection();
+        private final CountDownLatch refused = new CountDownLatch(2);
+        private volatile boolean refusing;
+        private long index;
+
+        @Override
+        public synchronized CompletableFuture<byte[]> propose(SectionId id, byte[] command, Deadline deadline) {
+            if (refusing) {
+                refused.countDown();
+                return CompletableFuture.failedFuture(WaxwingheadException.of(
+                        ErrorKind.NO_MAJORITY, "a majority can't write to their disks", "free space"));
+            }
+            return CompletableFuture.completedFuture(section.apply(++index, command));
+        }
+
+        synchronized void acceptLastingJob() {
+            JobStep step = new JobStep(
+                    1,
+                    Resources.of(1, 1, 0),
+                    1000,
+                    List.of(),
+                    false,
+                    false,
+                    false,
+                    "",
+                    "",
+                    0,
+                    false,
+                    true,
+                    "",
+                    0,
+                    false,
+                    0);
+            section.apply(
+                    ++index,
+                    JobCodec.pack(new JobCommand.Accept(
+                            new JobSubmission(JobId.of("00000000000000a1"), "x", List.of(step), JobSchedule.ONCE),
+                            new JobTerms(JobClassName.of("c"), ServiceName.of("s"), 1, 2, 1.5, 3),
+                            System.currentTimeMillis())));
+        }
+
+        @Override
+        public CompletableFuture<Long> readBarrier(Deadline deadline) {
+            return CompletableFuture.completedFuture(0L);
+        }
+
+        @Override
+        public LogStatus status() {
+            return new LogStatus(
+                    ReplicaId.of("r1"), LogStatus.Role.LEADER, 1, Optional.of(SELF), 1, 1, true, 0, List.of());
+        }
+    }
+
     /** Fails with an error on the first query of the status. */
     private static final class FailingOnce implements SharedState {
         private final AtomicBoolean failed = new AtomicBoolean();
