Give back the starts that are counted against unproven workers without an end

Cause: an unproven worker gets at most 5 tasks. The count was raised when a start was planned, and lowered only when an end of the run was planned. A start without effect (its job was canceled before the commit) and a gang's member that ended with another member's completion have no such end. After 5 of them the worker got no task until another scheduler took over.

Ruled out: the table counted no run on any worker, all workers reported and none was leaving, failing or slow.

--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/SchedulerState.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/SchedulerState.java
@@ -29,6 +29,7 @@
     private final WaitLog waits;
     private final SlowWorkerDetector slowWorkers;
     private final Set<RunKey> inheritedRuns = new HashSet<>();
+    private final Map<RunKey, WorkerIncarnation> startsWithoutEnd = new HashMap<>();
     private long takenOverNanos;
     private WorkerRegistry workers = new WorkerRegistry();
 
@@ -79,6 +80,7 @@
         health.resetStarted();
         workers = new WorkerRegistry();
         inheritedRuns.clear();
+        startsWithoutEnd.clear();
         for (WorkerIncarnation worker : table.busyWorkers()) {
             inheritedRuns.addAll(table.runsOn(worker));
         }
@@ -93,6 +95,31 @@
         return inheritedRuns.contains(run);
     }
 
+    /** Counts a planned start against its worker, as long as the worker is unproven. */
+    void recordStart(RunKey run, WorkerIncarnation worker) {
+        startsWithoutEnd.put(run, worker);
+        health.started(worker.worker());
+    }
+
+    /** Records that the planned end of a run is counted for its worker. */
+    void recordEnd(RunKey run) {
+        startsWithoutEnd.remove(run);
+    }
+
+    /**
+     * Gives back what was counted for starts that had no effect on the table, such as those of a job that was canceled
+     * before their commit, and for runs that ended with their gang.
+     */
+    void releaseEndedStarts() {
+        startsWithoutEnd.entrySet().removeIf(start -> {
+            boolean live = table.isLive(start.getValue(), start.getKey());
+            if (!live) {
+                health.endedInconclusively(start.getValue().worker());
+            }
+            return !live;
+        });
+    }
+
     /** Returns whether a run that ends may be followed by another run of its task. */
     boolean mayRunAgain(TaskKey task) {
         return table.find(task.job())
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/StartPlan.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/StartPlan.java
@@ -155,7 +155,7 @@
 
     private void start(RunKey run, WorkerEntry worker) {
         transitions.add(new JobTransition.Started(run, worker.incarnation()));
-        state.health().started(worker.id());
+        state.recordStart(run, worker.incarnation());
         state.events().starting(run, worker.incarnation(), state.table().epoch());
     }
 
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TransitionPlanner.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TransitionPlanner.java
@@ -42,6 +42,7 @@
 
     List<JobTransition> plan(long now, long epochMillis) {
         List<JobTransition> plan = new ArrayList<>();
+        state.releaseEndedStarts();
         planEnds(plan, now);
         planEndsOfUnstarted(plan);
         planLosses(plan, now);
@@ -77,6 +78,7 @@
                         && entry.neverStarts(run, state.inherited(run))) {
                     plan.add(new JobTransition.Ended(run, RunEnd.INTERRUPTED, ""));
                     state.events().neverStarted(run, entry.incarnation());
+                    state.recordEnd(run);
                     state.health().endedInconclusively(entry.id());
                 }
             }
@@ -85,6 +87,7 @@
 
     private void recordEnd(WorkerEntry entry, WorkerReport.EndedRun end, long now) {
         state.events().ended(end, entry.incarnation());
+        state.recordEnd(end.run());
         JobId job = end.run().task().job();
         switch (end.end()) {
             case COMPLETED -> state.health().succeeded(entry.id(), job);
@@ -139,6 +142,7 @@
                 if (end == RunEnd.WORKER_CRASHED) {
                     recordCrash(run, incarnation);
                 }
+                state.recordEnd(run);
                 state.health().endedInconclusively(incarnation.worker());
             }
         }
--- a/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobSchedulerTests.java
+++ b/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobSchedulerTests.java
@@ -410,6 +410,41 @@
         }
     }
 
+    /** Guards against unproven workers that get no tasks since starts without an end are counted against them. */
+    @Nested
+    class StartsOnUnprovenWorkers {
+        @Test
+        void areNotCountedIfTheirJobWasCanceledBeforeTheirCommit() {
+            report(W1);
+            for (String job : List.of("j1", "j2")) {
+                accept(job, JobFixtures.step(4, List.of()));
+                List<JobTransition> plan = plan();
+                table.apply(++index, new JobCommand.Cancel(JobId.of(job)));
+                commit(plan);
+            }
+            accept("j3", JobFixtures.step(4, List.of()));
+            commit(plan());
+            assertThat(table.runsOn(W1)).hasSize(4);
+        }
+
+        @Test
+        void areNotCountedAfterTheirGangHasCompleted() {
+            report(W1);
+            report(W22);
+            for (int gang = 1; gang <= 2; gang++) {
+                accept("g" + gang, JobFixtures.gang(8, 1000));
+                commit(plan());
+                int member = table.runsOn(W1).iterator().next().task().index();
+                report(W1, ended(gang, "g" + gang, member, 1, ReportedEnd.COMPLETED));
+                commit(plan());
+            }
+            report(W1);
+            accept("g3", JobFixtures.gang(8, 1000));
+            commit(plan());
+            assertThat(table.runsOn(W22)).hasSize(4);
+        }
+    }
+
     @Nested
     class RestartingLastingTasks {
         @Test
