--- a/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/consensus/ReplicaCore.java
+++ b/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/consensus/ReplicaCore.java
@@ -279,6 +279,7 @@
     public void markRefused() {
         deliveredIndex = previouslyDeliveredIndex;
         state.refusesWrites = true;
+        state.afterSync.clear();
         elections.withdraw(persistedHardState);
         leadership.onRefused();
     }
--- a/waxwinghead-coordination/src/test/java/dev/waxwinghead/coordination/consensus/ReplicaCoreTests.java
+++ b/waxwinghead-coordination/src/test/java/dev/waxwinghead/coordination/consensus/ReplicaCoreTests.java
@@ -161,6 +161,15 @@
         assertThat(group.voters()).containsExactly("r1", "r2", "r3");
     }
 
+    @Test
+    void followerSendsNoAnswerThatWasQueuedBeforeARefusedSnapshot() {
+        electFirst();
+        first.propose(new byte[1]);
+        processReady(first).forEach(outbound -> second.receive(E1, outbound.message()));
+        second.markRefused();
+        assertThat(second.ready().afterSync()).isEmpty();
+    }
+
     @Test
     void resignationOfAReplicaThatDoesNotLeadIsIgnored() {
         electFirst();
