Promote no learner whose disk refuses writes

What happens: with one of three voters gone and a learner that has caught up but refuses writes, the leader promotes the learner. The group then needs three of four voters, of which only two store, so it commits nothing, not even the promotion. Before the promotion it committed with two of three.

Cause: a learner counts as responsive if it answers and lacks no committed entry; that it refuses writes is known to the leader but not considered.

Now such a learner is not caught up, neither for balanceVoters nor for a join that requests a vote. A learner whose refusal the leader doesn't know yet may still be promoted.

Regression: ReplicaCoreTests.learnerThatRefusesWritesIsNotPromoted, red before (voters r1 to r4 instead of r1 to r3).

--- a/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/consensus/Leadership.java
+++ b/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/consensus/Leadership.java
@@ -75,9 +75,11 @@
         return state.isLeader() && state.commitIndex >= firstIndexOfOwnTerm;
     }
 
+    /** Returns whether a member has almost all committed entries and, as far as this leader knows, stores more. */
     boolean isCaughtUp(ReplicaId replica) {
         Progress progress = progressByReplica.get(replica);
         return progress != null
+                && !progress.refusesWrites
                 && progress.matchIndex > 0
                 && progress.matchIndex + state.settings.promotionLag() >= state.commitIndex;
     }
--- a/waxwinghead-coordination/src/test/java/dev/waxwinghead/coordination/consensus/ReplicaCoreTests.java
+++ b/waxwinghead-coordination/src/test/java/dev/waxwinghead/coordination/consensus/ReplicaCoreTests.java
@@ -170,6 +170,19 @@
         assertThat(second.ready().afterSync()).isEmpty();
     }
 
+    @Test
+    void learnerThatRefusesWritesIsNotPromoted() {
+        Group group = new Group(List.of("r1", "r2", "r3"));
+        group.addLearner("r4");
+        group.stop("r3");
+        group.refuseWrites("r4");
+        for (int i = 0; i < 50; i++) {
+            group.advanceTime(Duration.ofMillis(100));
+            group.leader().balanceVoters(3);
+        }
+        assertThat(group.voters()).containsExactly("r1", "r2", "r3");
+    }
+
     @Test
     void resignationOfAReplicaThatDoesNotLeadIsIgnored() {
         electFirst();
@@ -252,6 +265,14 @@
             exchangeMessages();
         }
 
+        void stop(String replica) {
+            cores.remove(ReplicaId.of(replica));
+        }
+
+        void refuseWrites(String replica) {
+            cores.get(ReplicaId.of(replica)).markRefused();
+        }
+
         /** Drops the messages with entries to a replica, which then answers as one that restarts instead of storing. */
         void dropEntriesTo(String replica) {
             withoutEntries.add(ReplicaId.of(replica));
