Send no start of a run whose end is being committed

A worker that was silent beyond its lease and reports again while the end of its run is being committed got the start of that run once more, if it had not listed the run yet. Once the end was committed, the task could be started on another worker beside it. While the disks of a majority refuse writes, a plan remains uncommitted for minutes and the host that planned it continues to answer.

Cause: starts are derived from the committed table alone. Now the runs that end with the latest plan are left out until the plan is committed or another epoch is acquired. Ruled out: runs that the worker has listed; they end with its lease.

Seen failing before: JobSchedulerTests.AnsweringReports, the two tests sendsNoStartOfARun… ("expected to be empty, but was [Start[…]]").

--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/SchedulerState.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/SchedulerState.java
@@ -29,6 +29,9 @@
     private final WaitLog waits;
     private final SlowWorkerDetector slowWorkers;
     private final Set<RunKey> inheritedRuns = new HashSet<>();
+    /** The runs that end with the latest plan, which may not be committed yet. */
+    private final Set<RunKey> endingRuns = new HashSet<>();
+
     private long takenOverNanos;
     private WorkerRegistry workers = new WorkerRegistry();
 
@@ -78,6 +81,7 @@
         takenOverNanos = now;
         health.resetStarted();
         workers = new WorkerRegistry();
+        endingRuns.clear();
         inheritedRuns.clear();
         for (WorkerIncarnation worker : table.busyWorkers()) {
             inheritedRuns.addAll(table.runsOn(worker));
@@ -93,6 +97,21 @@
         return inheritedRuns.contains(run);
     }
 
+    /** Records the ends of a plan that is about to be committed. */
+    void recordEnding(List<JobTransition> plan) {
+        endingRuns.clear();
+        for (JobTransition transition : plan) {
+            if (transition instanceof JobTransition.Ended ended) {
+                endingRuns.add(ended.run());
+            }
+        }
+    }
+
+    /** Returns whether a run ends with the latest plan. It must not be started, since its task may run elsewhere. */
+    boolean ending(RunKey run) {
+        return endingRuns.contains(run);
+    }
+
     /** Returns whether a run that ends may be followed by another run of its task. */
     boolean mayRunAgain(TaskKey task) {
         return table.find(task.job())
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TransitionPlanner.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TransitionPlanner.java
@@ -47,6 +47,7 @@
         planLosses(plan, now);
         planStarts(plan, now, epochMillis);
         planRemovals(plan, now);
+        state.recordEnding(plan);
         return plan;
     }
 
--- a/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobSchedulerTests.java
+++ b/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobSchedulerTests.java
@@ -56,6 +56,34 @@
             assertThat(report(W1).starts()).hasSize(1);
         }
 
+        /** Guards against a second run of a task beside one that was started while its end was being committed. */
+        @Test
+        void sendsNoStartOfARunWhoseEndIsBeingCommitted() {
+            accept("j1", JobFixtures.step(1, List.of()));
+            report(W1);
+            commit(plan());
+            now += TimeUnit.SECONDS.toNanos(12);
+            List<JobTransition> plan = plan();
+            assertThat(plan).hasSize(1);
+            assertThat(report(W1).starts()).isEmpty();
+            commit(plan);
+            assertThat(table.runsOn(W1)).isEmpty();
+        }
+
+        @Test
+        void sendsNoStartOfARunOfAnUnknownWorkerWhoseEndIsBeingCommitted() {
+            accept("j1", JobFixtures.step(1, List.of()));
+            report(W1);
+            commit(plan());
+            scheduler.takeOver(now);
+            now += TimeUnit.SECONDS.toNanos(30);
+            List<JobTransition> plan = plan();
+            assertThat(plan).hasSize(1);
+            assertThat(report(W1).starts()).isEmpty();
+            scheduler.takeOver(now);
+            assertThat(report(W1).starts()).hasSize(1);
+        }
+
         @Test
         void repeatsAStartUntilTheWorkerListsIt() {
             accept("j1", JobFixtures.step(1, List.of()));
