Act only in the log's term in which the epoch was acquired

A host that led, lost the leadership and leads again acted at once with the epoch of its earlier term if it had not yet applied the epoch of the scheduler in between: with a table that lacks what that scheduler committed, it granted leases and could send starts of runs that have ended, and stops of runs that it doesn't know. That lasted until the first entry of the new term was applied: milliseconds on sound disks, but without a bound since leaders whose followers refuse writes remain in their term.

Now the term of the acquisition belongs to the authority, so that a host acquires a new epoch after each election, which applies everything before it.

Seen failing before: JobEngineTests.engineDoesNotActInALaterTermBeforeItHasAcquired- AnEpochThere. engineActsWhileNothingCanBeCommitted guards without processes; it passed before.

--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobEngine.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobEngine.java
@@ -92,6 +92,12 @@
     /** The epoch in which this host acts, or {@link #NO_EPOCH}. Guarded by the table's monitor. */
     private long ownEpoch = NO_EPOCH;
 
+    /**
+     * The log's term in which this host has acquired its epoch. A leader of a later term may not have applied what
+     * another scheduler has committed in between. Guarded by the table's monitor.
+     */
+    private OptionalLong ownTerm = OptionalLong.empty();
+
     JobEngine(
             HostId self,
             SharedState sharedState,
@@ -132,7 +138,8 @@
     /** Returns whether this host acts as the scheduler now. */
     boolean acting() {
         synchronized (table) {
-            return table.epoch() == ownEpoch && authority.held();
+            OptionalLong term = authority.term();
+            return term.isPresent() && current(term);
         }
     }
 
@@ -259,25 +266,30 @@
     }
 
     private void step() throws InterruptedException {
-        boolean leads = authority.held();
+        OptionalLong term = authority.term();
+        if (term.isEmpty()) {
+            return;
+        }
         boolean current;
         synchronized (table) {
-            current = table.epoch() == ownEpoch;
-        }
-        if (!leads) {
-            return;
+            current = current(term);
         }
         if (!current) {
             resign("superseded");
         }
         if (!current || planUnresolved) {
-            acquire();
+            acquire(term);
             return;
         }
         commitPlan();
     }
 
-    private void acquire() throws InterruptedException {
+    /** Returns whether this host has acquired the newest epoch in a term. Requires the table's monitor. */
+    private boolean current(OptionalLong term) {
+        return table.epoch() == ownEpoch && term.equals(ownTerm);
+    }
+
+    private void acquire(OptionalLong term) throws InterruptedException {
         if (!propose(new JobCommand.Acquire(self))) {
             Thread.sleep(retryDelayMillis);
             retryDelayMillis = Math.min(2 * retryDelayMillis, MAX_RETRY_DELAY_MILLIS);
@@ -287,6 +299,7 @@
         planUnresolved = false;
         synchronized (table) {
             ownEpoch = table.epoch();
+            ownTerm = term;
             scheduler.takeOver(ticker.nanos());
         }
         Event.of("scheduler-acting").with("host", self).with("epoch", ownEpoch).write();
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/SchedulingAuthority.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/SchedulingAuthority.java
@@ -6,6 +6,7 @@
 import dev.waxwinghead.model.time.Deadline;
 import dev.waxwinghead.model.time.Ticker;
 import java.time.Duration;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
@@ -38,10 +39,10 @@
     }
 
     /**
-     * Returns whether this host has the authority now. After a step between the clocks, requests the confirmation by a
-     * majority and returns false until it has succeeded.
+     * Returns the term of the log in which this host has the authority now, empty if it has none. After a step between
+     * the clocks, requests the confirmation by a majority and returns an empty term until it has succeeded.
      */
-    synchronized boolean held() {
+    synchronized OptionalLong term() {
         long offset = clockOffset();
         if (Math.abs(offset - clockOffsetNanos) > MAX_CLOCK_STEP_NANOS) {
             Event.of("clock-step")
@@ -52,10 +53,11 @@
         clockOffsetNanos = offset;
         if (unconfirmed) {
             confirm();
-            return false;
+            return OptionalLong.empty();
         }
         LogStatus status = sharedState.status();
-        return status.role() == LogStatus.Role.LEADER && status.majorityInReach();
+        boolean leads = status.role() == LogStatus.Role.LEADER && status.majorityInReach();
+        return leads ? OptionalLong.of(status.term()) : OptionalLong.empty();
     }
 
     private void confirm() {
