--- a/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/jobs/JobEngineTests.java
+++ b/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/jobs/JobEngineTests.java
@@ -35,6 +35,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -67,45 +68,71 @@
         assertThat(state.proposed.await(5, TimeUnit.SECONDS)).isTrue();
     }
 
+    /** Guards against orders from a table that lacks what another scheduler has committed meanwhile. */
+    @Test
+    void engineDoesNotActInALaterTermBeforeItHasAcquiredAnEpochThere() throws InterruptedException {
+        JobSection section = new JobSection();
+        Committing committing = new Committing(section);
+        JobEngine engine = closer.register(engine(committing, section));
+        engine.start();
+        awaitActing(engine);
+        committing.commits = false;
+        committing.term = 3;
+        assertThat(engine.acting()).isFalse();
+        committing.commits = true;
+        awaitActing(engine);
+    }
+
+    /** Guards against lasting tasks that end with their leases while nothing can be committed. */
     @Test
     void leasesAreGrantedWhileNoPlanCanBeCommitted() throws Exception {
-        Committing committing = new Committing();
-        JobEngine engine = closer.register(new JobEngine(
-                SELF,
-                committing,
-                committing.section.table(),
-                new SchedulingAuthority(committing, Ticker.system(), System::currentTimeMillis),
-                new SchedulerTimes(
-                        Duration.ofSeconds(10), Duration.ofSeconds(2), Duration.ofSeconds(60), Duration.ofMillis(100)),
-                service -> true,
-                new EngineEvents(new SimpleMeterRegistry()),
-                Ticker.system(),
-                System::currentTimeMillis));
-        committing.section.onChange(engine::wake);
+        JobSection section = new JobSection();
+        Committing committing = new Committing(section);
+        JobEngine engine = closer.register(engine(committing, section));
         engine.start();
-        long endNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(5);
-        while (!engine.acting()) {
-            assertThat(System.nanoTime() - endNanos).isLessThan(0L);
-            TimeUnit.MILLISECONDS.sleep(10);
-        }
+        awaitActing(engine);
         assertThat(report(engine, 1)).isPresent();
-        committing.refusing = true;
-        committing.acceptLastingJob();
-        assertThat(committing.refused.await(5, TimeUnit.SECONDS)).isTrue();
-        for (int sequence = 2; sequence < 6; sequence++) {
-            Optional<WorkerInstructions> answer = report(engine, sequence);
+        committing.commits = false;
+        committing.accept(lastingJob());
+        engine.wake();
+        int sequence = 2;
+        while (sequence < 6 || committing.refused.get() < 2) {
+            Optional<WorkerInstructions> answer = report(engine, sequence++);
             assertThat(answer).isPresent();
             assertThat(answer.get().leaseMillis()).isGreaterThan(0);
             assertThat(answer.get().starts()).isEmpty();
         }
-        committing.refusing = false;
-        int sequence = 6;
+        committing.commits = true;
         // While the engine acquires an epoch, an answer may be empty.
         while (report(engine, sequence).map(answer -> answer.starts().isEmpty()).orElse(true)) {
             assertThat(sequence++).isLessThan(100);
         }
     }
 
+    private static JobCommand.Accept lastingJob() {
+        JobStep step = new JobStep(
+                1,
+                Resources.of(1, 1, 0),
+                1000,
+                List.of(),
+                false,
+                false,
+                false,
+                "",
+                "",
+                0,
+                false,
+                true,
+                "",
+                0,
+                false,
+                0);
+        return new JobCommand.Accept(
+                new JobSubmission(JobId.of("00000000000000a1"), "x", List.of(step), JobSchedule.ONCE),
+                new JobTerms(JobClassName.of("c"), ServiceName.of("s"), 1, 2, 1.5, 3),
+                System.currentTimeMillis());
+    }
+
     private static Optional<WorkerInstructions> report(JobEngine engine, long sequence) throws Exception {
         WorkerReport report = new WorkerReport(
                 new WorkerIncarnation(WorkerId.of("w1"), 1),
@@ -122,58 +149,64 @@
         return engine.report(report).get(5, TimeUnit.SECONDS);
     }
 
-    /** Applies commands at once, or refuses them as a log without a majority of disks does. */
+    private static void awaitActing(JobEngine engine) throws InterruptedException {
+        long endNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(5);
+        while (!engine.acting() && System.nanoTime() - endNanos < 0) {
+            TimeUnit.MILLISECONDS.sleep(10);
+        }
+        assertThat(engine.acting()).isTrue();
+    }
+
+    private static JobEngine engine(SharedState state, JobSection section) {
+        SchedulerTimes times = new SchedulerTimes(
+                Duration.ofSeconds(10), Duration.ofSeconds(2), Duration.ofSeconds(60), Duration.ofMillis(100));
+        return new JobEngine(
+                SELF,
+                state,
+                section.table(),
+                new SchedulingAuthority(state, Ticker.system(), System::currentTimeMillis),
+                times,
+                service -> true,
+                new EngineEvents(new SimpleMeterRegistry()),
+                Ticker.system(),
+                System::currentTimeMillis);
+    }
+
+    /** Leads the log and applies commands at once, or refuses them. */
     private static final class Committing implements SharedState {
-        private final JobSection section = new JobSection();
-        private final CountDownLatch refused = new CountDownLatch(2);
-        private volatile boolean refusing;
+        private final JobSection section;
+        private final AtomicInteger refused = new AtomicInteger();
+        private volatile boolean commits = true;
+        private volatile long term = 1;
         private long index;
 
+        Committing(JobSection section) {
+            this.section = section;
+        }
+
+        synchronized void accept(JobCommand.Accept command) {
+            section.apply(++index, JobCodec.pack(command));
+        }
+
         @Override
         public synchronized CompletableFuture<byte[]> propose(SectionId id, byte[] command, Deadline deadline) {
-            if (refusing) {
-                refused.countDown();
-                return CompletableFuture.failedFuture(WaxwingheadException.of(
-                        ErrorKind.NO_MAJORITY, "a majority can't write to their disks", "free space"));
+            if (!commits) {
+                refused.incrementAndGet();
+                return CompletableFuture.failedFuture(
+                        WaxwingheadException.of(ErrorKind.NO_MAJORITY, "refused", "retry later"));
             }
             return CompletableFuture.completedFuture(section.apply(++index, command));
         }
 
-        synchronized void acceptLastingJob() {
-            JobStep step = new JobStep(
-                    1,
-                    Resources.of(1, 1, 0),
-                    1000,
-                    List.of(),
-                    false,
-                    false,
-                    false,
-                    "",
-                    "",
-                    0,
-                    false,
-                    true,
-                    "",
-                    0,
-                    false,
-                    0);
-            section.apply(
-                    ++index,
-                    JobCodec.pack(new JobCommand.Accept(
-                            new JobSubmission(JobId.of("00000000000000a1"), "x", List.of(step), JobSchedule.ONCE),
-                            new JobTerms(JobClassName.of("c"), ServiceName.of("s"), 1, 2, 1.5, 3),
-                            System.currentTimeMillis())));
-        }
-
         @Override
         public CompletableFuture<Long> readBarrier(Deadline deadline) {
-            return CompletableFuture.completedFuture(0L);
+            return CompletableFuture.completedFuture(index);
         }
 
         @Override
         public LogStatus status() {
             return new LogStatus(
-                    ReplicaId.of("r1"), LogStatus.Role.LEADER, 1, Optional.of(SELF), 1, 1, true, 0, List.of());
+                    ReplicaId.of("r1"), LogStatus.Role.LEADER, term, Optional.of(SELF), 1, 1, true, 0, List.of());
         }
     }
 
