Start all members of a gang from one checkpoint

The table kept a checkpoint for each task, and a start carried that of its own task.

A gang has one checkpoint now. Ends of members are committed with the rank of their checkpoint; the highest rank of the attempt wins, in any order of commit: saved at a stop, at another end, listed last by a lost worker (by percent).

Ruled out: a change of the scheduler and repeated starts; GangCheckpointTests shows the fault without either.

--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobCodec.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobCodec.java
@@ -5,6 +5,7 @@
 import dev.waxwinghead.model.id.HostId;
 import dev.waxwinghead.model.id.JobId;
 import dev.waxwinghead.model.id.WorkerId;
+import dev.waxwinghead.scheduling.job.CheckpointRecency;
 import dev.waxwinghead.scheduling.job.JobCommand;
 import dev.waxwinghead.scheduling.job.JobOutcome;
 import dev.waxwinghead.scheduling.job.JobSchedule;
@@ -16,6 +17,7 @@
 import dev.waxwinghead.scheduling.job.TaskKey;
 import dev.waxwinghead.scheduling.job.WorkerIncarnation;
 import java.io.IOException;
+import java.util.ArrayList;
 import java.util.List;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessageUnpacker;
@@ -110,8 +112,8 @@
         } else if (command instanceof JobCommand.Cancel cancel) {
             packer.packInt(CANCEL).packString(cancel.job().value());
         } else if (command instanceof JobCommand.Advance advance) {
-            packer.packInt(ADVANCE).packLong(advance.epoch());
-            MessagePackCodec.list(packer, advance.transitions(), JobCodec::packTransition);
+            packer.packInt(ADVANCE);
+            packAdvance(packer, advance);
         }
     }
 
@@ -121,13 +123,39 @@
             case ACQUIRE -> new JobCommand.Acquire(HostId.of(unpacker.unpackString()));
             case ACCEPT -> unpackAccept(unpacker);
             case CANCEL -> new JobCommand.Cancel(JobId.of(unpacker.unpackString()));
-            case ADVANCE ->
-                new JobCommand.Advance(
-                        unpacker.unpackLong(), MessagePackCodec.list(unpacker, JobCodec::unpackTransition));
+            case ADVANCE -> unpackAdvance(unpacker);
             default -> throw new IOException("unknown command type " + type);
         };
     }
 
+    private static void packAdvance(MessageBufferPacker packer, JobCommand.Advance advance) throws IOException {
+        packer.packLong(advance.epoch());
+        MessagePackCodec.list(packer, advance.transitions(), JobCodec::packTransition);
+        List<RankedEnd> ranked = new ArrayList<>();
+        for (int position = 0; position < advance.transitions().size(); position++) {
+            if (advance.transitions().get(position) instanceof JobTransition.Ended ended
+                    && ended.recency() != CheckpointRecency.UNKNOWN) {
+                ranked.add(new RankedEnd(position, ended.recency()));
+            }
+        }
+        if (!ranked.isEmpty()) {
+            MessagePackCodec.list(
+                    packer, ranked, (out, end) -> out.packInt(end.position()).packInt(end.recency()));
+        }
+    }
+
+    private static JobCommand.Advance unpackAdvance(MessageUnpacker unpacker) throws IOException {
+        long epoch = unpacker.unpackLong();
+        List<JobTransition> transitions = new ArrayList<>(MessagePackCodec.list(unpacker, JobCodec::unpackTransition));
+        // Commands of earlier versions, and those without ends of gangs, end here.
+        if (unpacker.hasNext()) {
+            MessagePackCodec.list(unpacker, in -> new RankedEnd(in.unpackInt(), in.unpackInt()))
+                    .forEach(end -> transitions.set(
+                            end.position(), end.rank((JobTransition.Ended) transitions.get(end.position()))));
+        }
+        return new JobCommand.Advance(epoch, transitions);
+    }
+
     private static void packTransition(MessageBufferPacker packer, JobTransition transition) throws IOException {
         if (transition instanceof JobTransition.Started started) {
             packer.packInt(STARTED);
@@ -210,4 +238,11 @@
                 (flags & BEST_EFFORT) != 0,
                 unpacker.unpackInt());
     }
+
+    /** The rank of the checkpoint of an end, by the position of the end in its command. */
+    private record RankedEnd(int position, int recency) {
+        JobTransition.Ended rank(JobTransition.Ended ended) {
+            return new JobTransition.Ended(ended.run(), ended.end(), ended.checkpoint(), recency);
+        }
+    }
 }
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobSection.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobSection.java
@@ -56,6 +56,7 @@
                 MessagePackCodec.list(packer, table.canceledBeforeArrival(), (out, job) -> out.packString(job.value()));
                 MessagePackCodec.list(packer, table.all(), JobSection::packJob);
                 MessagePackCodec.list(packer, suspects(), this::packSuspect);
+                MessagePackCodec.list(packer, runningGangs(), this::packGangAttempt);
             });
         }
     }
@@ -68,10 +69,13 @@
                 long epoch = unpacker.unpackLong();
                 table.restore(epoch, MessagePackCodec.list(unpacker, in -> JobId.of(in.unpackString())));
                 MessagePackCodec.list(unpacker, this::unpackJob);
-                // Snapshots of earlier versions end here.
+                // Snapshots of earlier versions end here or after the next list.
                 if (unpacker.hasNext()) {
                     MessagePackCodec.list(unpacker, this::unpackSuspect);
                 }
+                if (unpacker.hasNext()) {
+                    MessagePackCodec.list(unpacker, this::unpackGangAttempt);
+                }
                 return epoch;
             });
         }
@@ -81,7 +85,7 @@
     private static void packJob(MessageBufferPacker packer, JobRecord job) throws IOException {
         JobCodec.packAccept(packer, new JobCommand.Accept(job.submission(), job.terms(), job.acceptedEpochMillis()));
         packer.packInt(job.state().code());
-        MessagePackCodec.list(packer, modifiedTasks(job), (out, key) -> packTask(out, key, job.task(key)));
+        MessagePackCodec.list(packer, modifiedTasks(job), (out, key) -> packTask(out, key, job));
     }
 
     private JobId unpackJob(MessageUnpacker unpacker) throws IOException {
@@ -109,6 +113,35 @@
         return task;
     }
 
+    /** Returns the first member of each gang that has live runs. */
+    private List<TaskKey> runningGangs() {
+        List<TaskKey> gangs = new ArrayList<>();
+        for (JobRecord job : table.all()) {
+            for (int occurrence = 0; occurrence < job.occurrences().size(); occurrence++) {
+                List<StepRecord> steps = job.occurrences().get(occurrence);
+                for (int step = 0; step < steps.size(); step++) {
+                    if (steps.get(step).step().gang() && steps.get(step).liveRuns() > 0) {
+                        gangs.add(new TaskKey(job.id(), occurrence, step, 0));
+                    }
+                }
+            }
+        }
+        return gangs;
+    }
+
+    private void packGangAttempt(MessageBufferPacker packer, TaskKey member) throws IOException {
+        JobRecord job = table.find(member.job()).orElseThrow();
+        JobCodec.packTask(packer, member);
+        packer.packString(job.step(member).startCheckpoint(job.task(member)));
+        packer.packInt(job.step(member).checkpointRecency());
+    }
+
+    private TaskKey unpackGangAttempt(MessageUnpacker unpacker) throws IOException {
+        TaskKey member = JobCodec.unpackTask(unpacker);
+        table.restoreGangAttempt(member, unpacker.unpackString(), unpacker.unpackInt());
+        return member;
+    }
+
     private static List<TaskKey> modifiedTasks(JobRecord job) {
         List<TaskKey> modified = new ArrayList<>();
         for (int occurrence = 0; occurrence < job.occurrences().size(); occurrence++) {
@@ -129,10 +162,11 @@
         }
     }
 
-    private static void packTask(MessageBufferPacker packer, TaskKey key, TaskRecord task) throws IOException {
+    private static void packTask(MessageBufferPacker packer, TaskKey key, JobRecord job) throws IOException {
+        TaskRecord task = job.task(key);
         JobCodec.packTask(packer, key);
         packer.packInt(task.attempts()).packInt(task.failures()).packBoolean(task.completed());
-        packer.packString(task.checkpoint());
+        packer.packString(job.step(key).checkpoint(task));
         MessagePackCodec.list(packer, task.liveRuns(), (out, run) -> {
             out.packInt(run.attempt());
             JobCodec.packIncarnation(out, run.worker());
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/JobTable.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/JobTable.java
@@ -227,7 +227,7 @@
             return;
         }
         StepRecord step = job.step(key);
-        step.end(task, run.get(), ended.end(), ended.checkpoint());
+        step.end(task, run.get(), ended.end(), ended.checkpoint(), ended.recency());
         removeRun(run.get().worker(), ended.run());
         if (ended.end() == RunEnd.COMPLETED && step.step().gang()) {
             completeGang(key, step);
@@ -243,7 +243,7 @@
             TaskRecord member = step.tasks().get(index);
             TaskKey memberKey = new TaskKey(key.job(), key.occurrence(), key.step(), index);
             for (TaskRecord.LiveRun run : List.copyOf(member.liveRuns())) {
-                step.end(member, run, RunEnd.COMPLETED, "");
+                step.end(member, run, RunEnd.COMPLETED, "", CheckpointRecency.UNKNOWN);
                 removeRun(run.worker(), new RunKey(memberKey, run.attempt()));
             }
         }
@@ -340,7 +340,7 @@
                         .add(new RunKey(restored.key(), run.attempt()));
             }
         }
-        record.occurrences().forEach(steps -> steps.forEach(StepRecord::recount));
+        record.occurrences().forEach(steps -> steps.forEach(StepRecord::restore));
         add(record);
     }
 
@@ -355,6 +355,18 @@
         jobs.get(task.job()).task(task).restoreCrashes(crashes);
     }
 
+    /**
+     * Restores the current attempt of a gang of a restored job.
+     *
+     * @param member a task of the gang
+     * @param startCheckpoint the checkpoint that the members of the attempt start from
+     * @param recency the rank of the gang's latest checkpoint
+     * @since 0.3
+     */
+    public void restoreGangAttempt(TaskKey member, String startCheckpoint, int recency) {
+        jobs.get(member.job()).step(member).restoreGangAttempt(startCheckpoint, recency);
+    }
+
     /**
      * Holds a task of a table that is being restored.
      *
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/JobTransition.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/JobTransition.java
@@ -22,8 +22,21 @@
      * @param run the run
      * @param end how the run ended
      * @param checkpoint the latest checkpoint of the task, empty if there is none
+     * @param recency for a member of a gang, the rank of the checkpoint among those of the attempt, see
+     *     {@link CheckpointRecency}
      */
-    record Ended(RunKey run, RunEnd end, String checkpoint) implements JobTransition {}
+    record Ended(RunKey run, RunEnd end, String checkpoint, int recency) implements JobTransition {
+        /**
+         * Creates the end of a run whose checkpoint has no known rank.
+         *
+         * @param run the run
+         * @param end how the run ended
+         * @param checkpoint the latest checkpoint of the task, empty if there is none
+         */
+        public Ended(RunKey run, RunEnd end, String checkpoint) {
+            this(run, end, checkpoint, CheckpointRecency.UNKNOWN);
+        }
+    }
 
     /**
      * Removes a job whose retention period after its end is over.
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/ReportHandler.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/ReportHandler.java
@@ -220,8 +220,8 @@
 
     private WorkerInstructions.Start start(RunKey run) {
         JobRecord job = state.table().find(run.task().job()).orElseThrow();
-        return new WorkerInstructions.Start(
-                run, job.submission().payload(), job.task(run.task()).checkpoint());
+        String checkpoint = job.step(run.task()).startCheckpoint(job.task(run.task()));
+        return new WorkerInstructions.Start(run, job.submission().payload(), checkpoint);
     }
 
     private List<RunKey> stops(WorkerEntry entry) {
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/StepRecord.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/StepRecord.java
@@ -7,6 +7,7 @@
 public final class StepRecord {
     private final JobStep step;
     private final List<TaskRecord> tasks;
+    private final GangCheckpoint gangCheckpoint = new GangCheckpoint();
     private int completed;
     private int liveRuns;
 
@@ -63,22 +64,68 @@
         return liveRuns;
     }
 
+    /**
+     * Returns the latest checkpoint of a task; the members of a gang share one.
+     *
+     * @param task a task of this step
+     * @return the checkpoint, empty if there is none
+     * @since 0.3
+     */
+    public String checkpoint(TaskRecord task) {
+        return step.gang() ? gangCheckpoint.latest() : task.checkpoint();
+    }
+
+    /**
+     * Returns the checkpoint that the live runs of a task start from; it is the same for all members of a gang.
+     *
+     * @param task a task of this step
+     * @return the checkpoint, empty if there is none
+     * @since 0.3
+     */
+    public String startCheckpoint(TaskRecord task) {
+        return step.gang() ? gangCheckpoint.start() : task.checkpoint();
+    }
+
+    /**
+     * Returns the rank of the latest checkpoint of a gang among those of its current attempt.
+     *
+     * @return the rank, see {@link CheckpointRecency}
+     * @since 0.3
+     */
+    public int checkpointRecency() {
+        return gangCheckpoint.recency();
+    }
+
     void start(TaskRecord task, int attempt, WorkerIncarnation worker) {
+        if (liveRuns == 0) {
+            gangCheckpoint.startAttempt();
+        }
         task.start(attempt, worker);
         liveRuns++;
     }
 
-    void end(TaskRecord task, TaskRecord.LiveRun run, RunEnd end, String checkpoint) {
+    void end(TaskRecord task, TaskRecord.LiveRun run, RunEnd end, String checkpoint, int recency) {
         boolean completedBefore = task.completed();
         task.end(run, end, checkpoint);
+        if (step.gang()) {
+            gangCheckpoint.saved(checkpoint, recency);
+        }
         liveRuns--;
         if (!completedBefore && task.completed()) {
             completed++;
         }
     }
 
-    void recount() {
+    /** Restores what follows from the state of the tasks. */
+    void restore() {
         completed = (int) tasks.stream().filter(TaskRecord::completed).count();
         liveRuns = tasks.stream().mapToInt(task -> task.liveRuns().size()).sum();
+        if (step.gang()) {
+            gangCheckpoint.restore(tasks.stream().map(TaskRecord::checkpoint).toList());
+        }
+    }
+
+    void restoreGangAttempt(String startCheckpoint, int recency) {
+        gangCheckpoint.restoreAttempt(startCheckpoint, recency);
     }
 }
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TransitionPlanner.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TransitionPlanner.java
@@ -57,7 +57,7 @@
             entry.ends().values().removeIf(end -> !state.table().isLive(entry.incarnation(), end.run()));
             for (WorkerReport.EndedRun end : entry.ends().values()) {
                 if (plan.size() < MAX_TRANSITIONS) {
-                    plan.add(new JobTransition.Ended(end.run(), end.end().runEnd(), end.checkpoint()));
+                    plan.add(new JobTransition.Ended(end.run(), end.end().runEnd(), end.checkpoint(), recency(end)));
                     recordEnd(entry, end, now);
                 }
             }
@@ -135,7 +135,7 @@
             boolean ending = entry.isPresent() && entry.get().ends().containsKey(run);
             if (!ending && plan.size() < MAX_TRANSITIONS) {
                 RunEnd end = entry.map(known -> known.endOnLoss(run)).orElse(RunEnd.INTERRUPTED);
-                plan.add(new JobTransition.Ended(run, end, lastCheckpoint(entry, run)));
+                plan.add(endOnLoss(run, end, entry));
                 if (end == RunEnd.WORKER_CRASHED) {
                     recordCrash(run, incarnation);
                 }
@@ -153,10 +153,23 @@
         }
     }
 
-    private static String lastCheckpoint(Optional<WorkerEntry> entry, RunKey run) {
+    /** Returns the end of a run on a lost worker, with the checkpoint that the worker listed last. */
+    private JobTransition.Ended endOnLoss(RunKey run, RunEnd end, Optional<WorkerEntry> entry) {
         return entry.map(known -> known.observations().get(run))
-                .map(RunObservation::checkpoint)
-                .orElse("");
+                .map(observed -> new JobTransition.Ended(run, end, observed.checkpoint(), recency(run, observed)))
+                .orElseGet(() -> new JobTransition.Ended(run, end, ""));
+    }
+
+    private int recency(RunKey run, RunObservation observed) {
+        return inGang(run) ? CheckpointRecency.whileRunning(observed.percent()) : CheckpointRecency.UNKNOWN;
+    }
+
+    private int recency(WorkerReport.EndedRun end) {
+        return inGang(end.run()) ? CheckpointRecency.of(end.end()) : CheckpointRecency.UNKNOWN;
+    }
+
+    private boolean inGang(RunKey run) {
+        return state.step(run.task()).filter(JobStep::gang).isPresent();
     }
 
     private void removeLostWorkers(long now) {
