Start no run whose end is being committed

Cause: when a worker's lease had expired, the ends of its runs were planned. A report that arrived before their commit was answered with the start of these runs, if the worker did not list them. Once the ends were committed, the tasks were started on other workers as well. The same held for a worker that was heard of for the first time after a takeover. The scheduler of the task package already grants no lease in that time.

Ruled out: the order of late answers, since the answer was built within that time.

--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/ReportHandler.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/ReportHandler.java
@@ -211,7 +211,7 @@
         List<WorkerInstructions.Start> starts = new ArrayList<>();
         for (RunKey run : state.table().runsOn(entry.incarnation())) {
             boolean reported = entry.observations().containsKey(run) || ended.contains(run);
-            if (!reported && !entry.stopping().contains(run)) {
+            if (!reported && !entry.stopping().contains(run) && !state.ending(run)) {
                 starts.add(start(run));
             }
         }
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/SchedulerState.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/SchedulerState.java
@@ -30,6 +30,7 @@
     private final SlowWorkerDetector slowWorkers;
     private final Set<RunKey> inheritedRuns = new HashSet<>();
     private final Map<RunKey, WorkerIncarnation> startsWithoutEnd = new HashMap<>();
+    private final Set<RunKey> endingRuns = new HashSet<>();
     private long takenOverNanos;
     private WorkerRegistry workers = new WorkerRegistry();
 
@@ -81,6 +82,7 @@
         workers = new WorkerRegistry();
         inheritedRuns.clear();
         startsWithoutEnd.clear();
+        endingRuns.clear();
         for (WorkerIncarnation worker : table.busyWorkers()) {
             inheritedRuns.addAll(table.runsOn(worker));
         }
@@ -101,9 +103,20 @@
         health.started(worker.worker());
     }
 
-    /** Records that the planned end of a run is counted for its worker. */
+    /** Records that the end of a run is planned, and counted for its worker. */
     void recordEnd(RunKey run) {
         startsWithoutEnd.remove(run);
+        endingRuns.add(run);
+    }
+
+    /** Returns whether the end of a run is planned, so that no answer may start the run any more. */
+    boolean ending(RunKey run) {
+        return endingRuns.contains(run);
+    }
+
+    /** Discards the ends of the previous plan, which was committed. */
+    void discardCommittedEnds() {
+        endingRuns.clear();
     }
 
     /**
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TransitionPlanner.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TransitionPlanner.java
@@ -42,6 +42,7 @@
 
     List<JobTransition> plan(long now, long epochMillis) {
         List<JobTransition> plan = new ArrayList<>();
+        state.discardCommittedEnds();
         state.releaseEndedStarts();
         planEnds(plan, now);
         planEndsOfUnstarted(plan);
--- a/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobSchedulerTests.java
+++ b/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobSchedulerTests.java
@@ -210,6 +210,18 @@
             assertRunsEndWithTheLeaseOf(W1);
         }
 
+        /** Guards against tasks that run twice since an answer starts them while their loss is being committed. */
+        @Test
+        void thatExpiredKeepAnswersFromStartingTheRunsThatAreGivenUp() {
+            accept("j1", JobFixtures.step(1, List.of()));
+            startAll(W1);
+            now += TimeUnit.SECONDS.toNanos(11);
+            List<JobTransition> plan = plan();
+            assertThat(report(W1).starts()).isEmpty();
+            commit(plan);
+            assertThat(table.runsOn(W1)).isEmpty();
+        }
+
         @Test
         void ofThePredecessorDelayARestartAfterATakeover() {
             accept("j1", JobFixtures.step(1, List.of()));
