Count no failure from before a quarantine as a failed trial

Cause: when several tasks of a worker fail at once, one of the failures starts its quarantine, and those after it were recorded as failures of a trial. At the end of the quarantine the worker was quarantined again, for twice as long and without a trial.

Ruled out: room in the table, slow workers, the count of starts on unproven workers.

A failed trial still doubles it.

--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/health/WorkerHealth.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/health/WorkerHealth.java
@@ -123,6 +123,10 @@
         record.failedOn.add(worker);
         record.succeededOn.remove(worker);
         WorkerState<J> state = stateOf(worker);
+        if (state.quarantined && now - state.quarantinedUntilNanos < 0) {
+            // Assigned before the quarantine, so it is no failed trial.
+            return;
+        }
         state.failures.merge(job, 1, Integer::sum);
         state.lastFailureNanos = now;
         if (state.proven && !failsEverywhere(job)) {
