--- /dev/null
+++ b/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobSchedulerModelTests.java
@@ -0,0 +1,37 @@
+package dev.waxwinghead.scheduling.job;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * Plays random histories of schedulers and workers, see {@link ModelFleet}.
+ *
+ * <p>The system properties {@code histories} and {@code firstSeed} select others, and {@code trace} prints them.
+ */
+class JobSchedulerModelTests {
+    private static final long HISTORIES = Long.getLong("histories", 100);
+    private static final long FIRST_SEED = Long.getLong("firstSeed", 0);
+
+    @Test
+    void roomEqualsWhatRunsAndTasksRunOnceAndInTime() {
+        for (long seed = FIRST_SEED; seed < FIRST_SEED + HISTORIES; seed++) {
+            play(seed);
+        }
+    }
+
+    /** Guards against the faults that histories with these seeds have found. */
+    @ParameterizedTest
+    @ValueSource(longs = {2, 228, 1847, 2535, 3030, 4124})
+    void holdsForHistoriesThatFailedBefore(long seed) {
+        play(seed);
+    }
+
+    private static void play(long seed) {
+        try {
+            new ModelFleet(seed, Boolean.getBoolean("trace")).run();
+        } catch (AssertionError e) {
+            throw new AssertionError("seed " + seed + ": " + e.getMessage(), e);
+        }
+    }
+}
