Check the consensus with disks that refuse writes

Tries to resume are followed by the pending writes at once, as in ReplicaLoop.runOnce.

New checks, also in the existing histories: a replica votes once in a term; an entry that a leader commits is on the disks of a majority at that moment. With refusals: promises and answers are covered by the disk, a refusing leader resigns once the others commit, a majority that writes commits within 20 election timeouts, and a leader remains for 6 of them while no disk takes writes. Histories with clocks of unequal speed have no bound for progress and end before these two.

--- a/waxwinghead-coordination/src/test/java/dev/waxwinghead/coordination/consensus/ConsensusModelTests.java
+++ b/waxwinghead-coordination/src/test/java/dev/waxwinghead/coordination/consensus/ConsensusModelTests.java
@@ -2,6 +2,8 @@
 
 import static com.google.common.truth.Truth.assertWithMessage;
 
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.LongAdder;
 import java.util.stream.LongStream;
 import org.junit.jupiter.api.Test;
@@ -10,6 +12,27 @@
     private static final int HISTORIES = 10_000;
     private static final int STEPS_PER_HISTORY = 700;
 
+    /** The number of histories with disks that refuse writes, a property so that more can be run by hand. */
+    private static final int REFUSAL_HISTORIES = Integer.getInteger("waxwinghead.model.refusalHistories", 1000);
+
+    private static final long FIRST_REFUSAL_SEED = 1_000_001;
+
+    private static final Map<String, Long> LEAST_PER_1000_HISTORIES = Map.ofEntries(
+            Map.entry("refused hard states", 1000L),
+            Map.entry("refused entries", 1000L),
+            Map.entry("refused received snapshots", 100L),
+            Map.entry("refused own snapshots", 500L),
+            Map.entry("partial writes", 50L),
+            Map.entry("resumptions", 1000L),
+            Map.entry("crashes while refusing", 300L),
+            Map.entry("disk losses while refusing", 10L),
+            Map.entry("progress with refusing hosts", 500L),
+            Map.entry("leaders that remain", 500L),
+            Map.entry("committed entries", 10_000L),
+            Map.entry("committed memberships", 200L),
+            Map.entry("confirmed reads", 200L),
+            Map.entry("leaders", 2000L));
+
     @Test
     void keepsInvariantsInAllSeededHistories() {
         LongAdder committed = new LongAdder();
@@ -19,7 +42,7 @@
         LongAdder diskLosses = new LongAdder();
         LongAdder installs = new LongAdder();
         LongStream.rangeClosed(1, HISTORIES).parallel().forEach(seed -> {
-            ModelInvariants invariants = runHistory(seed);
+            ModelInvariants invariants = runHistory(seed, false);
             committed.add(invariants.lastCommitted());
             leaders.add(invariants.leaderCount());
             reads.add(invariants.confirmedReads);
@@ -35,10 +58,26 @@
         assertWithMessage("installed snapshots").that(installs.sum()).isAtLeast(2_000);
     }
 
-    private static ModelInvariants runHistory(long seed) {
+    @Test
+    void keepsInvariantsInAllSeededHistoriesWithDisksThatRefuseWrites() {
+        Map<String, LongAdder> counts = new ConcurrentHashMap<>();
+        LongStream.range(FIRST_REFUSAL_SEED, FIRST_REFUSAL_SEED + REFUSAL_HISTORIES)
+                .parallel()
+                .forEach(seed -> runHistory(seed, true)
+                        .refusalCounts()
+                        .forEach((name, count) -> counts.computeIfAbsent(name, n -> new LongAdder())
+                                .add(count)));
+        LEAST_PER_1000_HISTORIES.forEach((name, least) ->
+                assertWithMessage(name).that(counts.get(name).sum()).isAtLeast(least * REFUSAL_HISTORIES / 1000));
+    }
+
+    private static ModelInvariants runHistory(long seed, boolean refusesWrites) {
         try {
-            ModelCluster cluster = new ModelCluster(seed);
+            ModelCluster cluster = new ModelCluster(seed, refusesWrites);
             cluster.run(STEPS_PER_HISTORY);
+            if (refusesWrites) {
+                cluster.checkProgress();
+            }
             return cluster.invariants;
         } catch (RuntimeException | AssertionError e) {
             throw new AssertionError("seed " + seed + ": " + e.getMessage(), e);
--- a/waxwinghead-coordination/src/test/java/dev/waxwinghead/coordination/consensus/ModelCluster.java
+++ b/waxwinghead-coordination/src/test/java/dev/waxwinghead/coordination/consensus/ModelCluster.java
@@ -2,27 +2,40 @@
 
 import dev.waxwinghead.coordination.log.LogStatus.Member;
 import dev.waxwinghead.coordination.memory.MemoryStorage;
+import dev.waxwinghead.coordination.storage.LogEntry;
+import dev.waxwinghead.coordination.storage.ReplicaStorage.Recovered;
 import dev.waxwinghead.model.id.HostId;
 import dev.waxwinghead.model.id.ReplicaId;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 
 /**
- * Simulates a cluster through a seeded history of deliveries, message losses, crashes, pauses, disk losses and
- * membership changes.
+ * Simulates a cluster through a seeded history of deliveries, message losses, crashes, pauses, disk losses, disks that
+ * refuse writes and membership changes.
  */
 final class ModelCluster {
     private static final long NANOS_PER_MILLI = 1_000_000;
     private static final int MAX_IN_FLIGHT_MESSAGES = 60;
+    private static final long ELECTION_TIMEOUT_NANOS =
+            ModelNode.SETTINGS.electionTimeoutMax().toNanos();
+    /** Each election fails with a probability below one half, so that this many leave no doubt. */
+    private static final int MAX_ELECTION_TIMEOUTS = 20;
+
+    private static final int STEADY_ELECTION_TIMEOUTS = 6;
+    private static final long ROUND_NANOS = 5 * NANOS_PER_MILLI;
 
     final ModelInvariants invariants = new ModelInvariants();
     private final UniformRandomProvider random;
@@ -34,17 +47,31 @@
     private final int crashWeight;
     private final boolean losesDisks;
     private final boolean changesMembers;
+    private final boolean refusesWrites;
+    private final boolean clockRatesDiffer;
+    private final Map<ReplicaId, MemoryStorage> abandonedDisks = new HashMap<>();
+    private boolean faultsEnded;
+    /** The bound, exclusive, of the writes that a full disk takes before it refuses. */
+    private int remainingWritesBound = 3;
+
     private HostId isolatedHost;
     private long now = 1;
     private long nextId;
+    private long lastAppliedId = -1;
 
     ModelCluster(long seed) {
+        this(seed, false);
+    }
+
+    /** Creates a cluster; its disks may refuse writes if the flag is set, which leads to other histories. */
+    ModelCluster(long seed, boolean refusesWrites) {
+        this.refusesWrites = refusesWrites;
         random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
         coreRandom = random::nextLong;
         crashWeight = 1 + random.nextInt(10);
         losesDisks = random.nextBoolean();
         changesMembers = losesDisks || random.nextBoolean();
-        boolean clockRatesDiffer = random.nextInt(3) == 0;
+        clockRatesDiffer = random.nextInt(3) == 0;
         int voters = random.nextInt(4) == 0 ? 5 : 3;
         int learners = random.nextInt(3);
         for (int i = 0; i < voters + learners; i++) {
@@ -62,7 +89,9 @@
 
     void run(int steps) {
         for (int i = 0; i < steps; i++) {
-            step(random.nextInt(1000));
+            if (!refusesWrites || !stepOfDisks()) {
+                step(random.nextInt(1000));
+            }
             if (i % 64 == 0) {
                 invariants.checkLogsMatch(nodes);
             }
@@ -70,6 +99,193 @@
         invariants.checkLogsMatch(nodes);
     }
 
+    /** Fills or empties disks, or lets replicas try their disks again. Returns false if another step is due. */
+    private boolean stepOfDisks() {
+        int eventNumber = random.nextInt(200);
+        if (eventNumber < 3) {
+            fill(nodes.get(random.nextInt(nodes.size())));
+        } else if (eventNumber < 4) {
+            nodes.stream().filter(node -> random.nextInt(4) != 0).forEach(this::fill);
+        } else if (eventNumber < 5) {
+            nodes.forEach(this::fill);
+        } else if (eventNumber < 9) {
+            nodes.get(random.nextInt(nodes.size())).diskFull = false;
+        } else if (eventNumber < 11) {
+            nodes.forEach(node -> node.diskFull = false);
+        } else if (eventNumber < 20) {
+            nodes.forEach(this::resume);
+        } else {
+            return false;
+        }
+        return true;
+    }
+
+    private void fill(ModelNode node) {
+        node.diskFull = true;
+        node.remainingWrites = random.nextInt(remainingWritesBound);
+    }
+
+    /** Tries the disk of a node; as in the loop of a replica, what is missing is written at once. */
+    private void resume(ModelNode node) {
+        if (!node.isRunning(now) || !node.core.refusesWrites()) {
+            return;
+        }
+        node.tick(now);
+        if (node.diskFull) {
+            node.remainingWrites = random.nextInt(remainingWritesBound);
+        }
+        if (node.resume()) {
+            invariants.resumptions++;
+            processAll(node);
+        }
+    }
+
+    private void compact(ModelNode node) {
+        if (!node.compact()) {
+            invariants.refusedCompactions++;
+        }
+    }
+
+    /**
+     * Ends all faults except that the disks of some hosts still refuse writes, and checks that changes are committed as
+     * long as a majority of the voters writes. Then fills all disks and checks that the leader remains.
+     */
+    void checkProgress() {
+        endFaults();
+        if (clockRatesDiffer || !majorityWrites()) {
+            return;
+        }
+        fillMinority();
+        boolean refusing = nodes.stream().anyMatch(node -> node.diskFull);
+        invariants.checkProgress(commitsWithin(MAX_ELECTION_TIMEOUTS), MAX_ELECTION_TIMEOUTS);
+        invariants.progressChecksWhileRefusing += refusing ? 1 : 0;
+        nodes.forEach(node -> node.diskFull = false);
+        invariants.checkProgress(commitsWithin(MAX_ELECTION_TIMEOUTS), MAX_ELECTION_TIMEOUTS);
+        checkLeaderRemains();
+        nodes.forEach(node -> node.diskFull = false);
+        invariants.checkProgress(commitsWithin(MAX_ELECTION_TIMEOUTS), MAX_ELECTION_TIMEOUTS);
+        invariants.checkLogsMatch(nodes);
+    }
+
+    private void endFaults() {
+        faultsEnded = true;
+        isolatedHost = null;
+        for (ModelNode node : nodes) {
+            node.diskFull = false;
+            node.pausedUntil = now;
+            if (node.core == null) {
+                node.start(coreRandom, now);
+            }
+        }
+    }
+
+    /** Returns whether, by each replica's membership, a majority of the voters knows the group and can write. */
+    private boolean majorityWrites() {
+        Set<ReplicaId> writing = nodes.stream()
+                .filter(node -> !node.diskFull && node.core.hasGroup())
+                .map(ModelNode::replica)
+                .collect(Collectors.toSet());
+        List<List<Member>> memberships = nodes.stream()
+                .filter(node -> node.core.hasGroup())
+                .map(node -> node.core.membership().voters())
+                .toList();
+        return !memberships.isEmpty()
+                && memberships.stream()
+                        .allMatch(voters -> voters.stream()
+                                        .filter(voter -> writing.contains(voter.replica()))
+                                        .count()
+                                > voters.size() / 2);
+    }
+
+    /** Fills as many disks as possible, the leaders' first in half of the histories. */
+    private void fillMinority() {
+        boolean leadersFirst = random.nextBoolean();
+        List<ModelNode> candidates = new ArrayList<>(nodes);
+        Collections.rotate(candidates, random.nextInt(candidates.size()));
+        if (leadersFirst) {
+            candidates.sort(Comparator.comparing(node -> !node.core.isLeader()));
+        }
+        for (ModelNode node : candidates) {
+            fill(node);
+            if (!majorityWrites()) {
+                node.diskFull = false;
+            }
+        }
+    }
+
+    private boolean commitsWithin(int electionTimeouts) {
+        long firstId = nextId;
+        long end = now + electionTimeouts * ELECTION_TIMEOUT_NANOS;
+        while (now < end && lastAppliedId < firstId) {
+            round();
+        }
+        return lastAppliedId >= firstId;
+    }
+
+    /** Delivers everything, lets replicas try their disks again and proposes a change to each leader. */
+    private void round() {
+        now += ROUND_NANOS;
+        for (ModelNode node : nodes) {
+            node.tick(now);
+            if (node.core.isLeader() && node.core.canCommit()) {
+                node.core.propose(ByteBuffer.allocate(16).putLong(nextId++).array());
+            }
+            processReady(node);
+        }
+        int count = inFlight.size();
+        for (int i = 0; i < count; i++) {
+            deliver(0);
+        }
+    }
+
+    private void resumeIfDue(ModelNode node) {
+        if (node.core.refusesWrites() && now >= node.resumeAt) {
+            node.resumeAt = now + (1 + random.nextInt(8)) * ROUND_NANOS;
+            resume(node);
+        }
+    }
+
+    private void checkLeaderRemains() {
+        Optional<ModelNode> current = settledLeader();
+        if (current.isEmpty()) {
+            return;
+        }
+        ModelNode leader = current.get();
+        long term = leader.core.term();
+        remainingWritesBound = 2; // A resumption succeeds at times, but no write after it.
+        nodes.forEach(node -> {
+            node.diskFull = true;
+            node.remainingWrites = 0;
+        });
+        if (random.nextBoolean()) {
+            nodes.forEach(this::compact);
+        }
+        long end = now + STEADY_ELECTION_TIMEOUTS * ELECTION_TIMEOUT_NANOS;
+        while (now < end) {
+            round();
+            invariants.checkSteady(leader, term);
+        }
+        invariants.steadyLeaders++;
+    }
+
+    /** Returns the leader that a majority of the voters follows in a term that is on their disks. */
+    private Optional<ModelNode> settledLeader() {
+        round();
+        round();
+        return nodes.stream()
+                .filter(node -> node.core.isLeader())
+                .max(Comparator.comparingLong(node -> node.core.term()))
+                .filter(leader -> {
+                    List<Member> voters = leader.core.membership().voters();
+                    return voters.stream()
+                                    .filter(voter ->
+                                            disk(voter.replica()).hardState().term() == leader.core.term()
+                                                    && node(voter.host()).core.term() == leader.core.term())
+                                    .count()
+                            > voters.size() / 2;
+                });
+    }
+
     private void step(int eventNumber) {
         ModelNode node = nodes.get(random.nextInt(nodes.size()));
         if (eventNumber < 640 && !inFlight.isEmpty()) {
@@ -94,7 +310,7 @@
         } else if (eventNumber < 968) {
             isolatedHost = random.nextInt(3) == 0 ? node.host : null;
         } else if (eventNumber < 988) {
-            node.compact();
+            compact(node);
         } else if (eventNumber < 990 && losesDisks) {
             loseDisk(node);
         } else if (eventNumber < 991) {
@@ -113,7 +329,8 @@
         boolean isolated = message.from.equals(isolatedHost) || node.host.equals(isolatedHost);
         if (node.core != null && !isolated) {
             node.tick(now);
-            node.core.receive(message.from, encodeAndDecode(message.outbound.message()));
+            Message received = encodeAndDecode(message.outbound.message());
+            checkingCommit(node, () -> node.core.receive(message.from, received));
             processReady(node);
         }
     }
@@ -188,8 +405,14 @@
         nodes.stream()
                 .filter(n -> n.core != null && n.core.isLeader() && random.nextBoolean())
                 .findFirst()
-                .orElse(node)
-                .crash();
+                .ifPresentOrElse(this::crashNode, () -> crashNode(node));
+    }
+
+    private void crashNode(ModelNode node) {
+        if (node.core != null && node.core.refusesWrites()) {
+            invariants.crashesWhileRefusing++;
+        }
+        node.crash();
     }
 
     /**
@@ -207,9 +430,13 @@
             return;
         }
         invariants.diskLosses++;
+        if (node.core.refusesWrites()) {
+            invariants.diskLossesWhileRefusing++;
+        }
         node.crash();
         replicasOfLostDisks.add(node.replica());
         lostDisks.put(node.host, node.storage);
+        abandonedDisks.put(node.replica(), node.storage);
         node.storage = MemoryStorage.create(newReplica());
         node.start(coreRandom, now);
     }
@@ -220,6 +447,7 @@
         if (lostDisk != null && node.core != null) {
             node.crash();
             replicasOfLostDisks.add(node.replica());
+            abandonedDisks.put(node.replica(), node.storage);
             node.storage = lostDisk;
             node.start(coreRandom, now);
         }
@@ -227,20 +455,86 @@
 
     /** Processes the pending work of a node, or leaves it for a later event to share one sync. */
     private void processReady(ModelNode node) {
-        if (random.nextInt(4) == 0) {
-            return;
+        if (faultsEnded) {
+            resumeIfDue(node);
+            processAll(node);
+        } else if (random.nextInt(4) != 0) {
+            processAll(node);
         }
+    }
+
+    private void processAll(ModelNode node) {
         Ready ready = node.core.ready();
         while (!ready.isEmpty()) {
-            int crashPoint = ready.requiresSync() && random.nextInt(120) == 0 ? 1 + random.nextInt(3) : 0;
-            if (!node.process(ready, crashPoint, outbound -> send(node, outbound))) {
+            boolean crashes = !faultsEnded && ready.requiresSync() && random.nextInt(120) == 0;
+            if (!process(node, ready, crashes ? 1 + random.nextInt(3) : 0)) {
                 node.crash();
                 return;
             }
-            apply(node, ready);
             ready = node.core.ready();
         }
         invariants.checkLeader(node);
+        invariants.checkResigned(node);
+    }
+
+    /** Returns whether the node survived. */
+    private boolean process(ModelNode node, Ready ready, int crashPoint) {
+        if (node.diskFull && writeCount(ready) > 1 && random.nextInt(4) == 0) {
+            node.remainingWrites = 1;
+        }
+        int writesBefore = node.remainingWrites;
+        ModelNode.Outcome outcome =
+                checkingCommit(node, () -> node.process(ready, crashPoint, outbound -> send(node, outbound)));
+        if (outcome == ModelNode.Outcome.STORED) {
+            apply(node, ready);
+        } else if (outcome == ModelNode.Outcome.REFUSED) {
+            recordRefusal(node, ready, writesBefore);
+        }
+        if (outcome != ModelNode.Outcome.CRASHED) {
+            completeReads(node, ready);
+        }
+        return outcome != ModelNode.Outcome.CRASHED;
+    }
+
+    private static int writeCount(Ready ready) {
+        return (ready.hardState().isPresent() ? 1 : 0)
+                + (ready.snapshot().isPresent() ? 1 : 0)
+                + (ready.entries().isEmpty() ? 0 : 1);
+    }
+
+    private void recordRefusal(ModelNode node, Ready ready, int writesBefore) {
+        invariants.refusedHardStates += ready.hardState().isPresent() ? 1 : 0;
+        invariants.refusedSnapshots += ready.snapshot().isPresent() ? 1 : 0;
+        invariants.refusedEntries += ready.entries().isEmpty() ? 0 : 1;
+        if (writesBefore > 0) {
+            invariants.partialWrites++;
+            if (random.nextBoolean()) {
+                node.storage.sync();
+            }
+        }
+    }
+
+    /** Runs an action on a node and checks what the node has committed by it as the leader. */
+    private <T> T checkingCommit(ModelNode node, Supplier<T> action) {
+        boolean leads = node.core.isLeader();
+        long term = node.core.term();
+        long commitIndex = node.core.commitIndex();
+        T result = action.get();
+        if (leads && node.core.term() == term && node.core.commitIndex() > commitIndex) {
+            invariants.checkStoredByMajority(node, this::disk);
+        }
+        return result;
+    }
+
+    /** Returns what a replica would recover now, also from a disk that its host has lost. */
+    private Recovered disk(ReplicaId replica) {
+        return nodes.stream()
+                .filter(node -> node.replica().equals(replica))
+                .findFirst()
+                .map(node -> node.storage)
+                .orElseGet(() -> abandonedDisks.get(replica))
+                .reopenAfterCrash()
+                .recovered();
     }
 
     private void apply(ModelNode node, Ready ready) {
@@ -252,7 +546,14 @@
         ready.committed().forEach(entry -> {
             node.apply(entry);
             invariants.checkApplied(node, entry);
+            if (entry.kind() == LogEntry.Kind.COMMAND) {
+                lastAppliedId =
+                        Math.max(lastAppliedId, ByteBuffer.wrap(entry.payload()).getLong());
+            }
         });
+    }
+
+    private void completeReads(ModelNode node, Ready ready) {
         ready.confirmedReads()
                 .forEach(read -> invariants.checkConfirmedRead(node.minReadIndexes.remove(read.id()), read.index()));
         ready.failedReads().forEach(node.minReadIndexes::remove);
@@ -262,12 +563,18 @@
         if (outbound.message() instanceof Message.VoteResponse vote) {
             invariants.checkVote(from, vote);
         }
+        if (outbound.message() instanceof Message.VoteRequest request) {
+            invariants.checkCandidacy(request);
+        }
+        if (refusesWrites) {
+            invariants.checkPromise(from, outbound.message());
+        }
         addInFlight(new InFlightMessage(from.host, outbound));
     }
 
     private void addInFlight(InFlightMessage message) {
         inFlight.add(message);
-        if (inFlight.size() > MAX_IN_FLIGHT_MESSAGES) {
+        if (!faultsEnded && inFlight.size() > MAX_IN_FLIGHT_MESSAGES) {
             inFlight.remove(0);
         }
     }
--- a/waxwinghead-coordination/src/test/java/dev/waxwinghead/coordination/consensus/ModelInvariants.java
+++ b/waxwinghead-coordination/src/test/java/dev/waxwinghead/coordination/consensus/ModelInvariants.java
@@ -1,12 +1,16 @@
 package dev.waxwinghead.coordination.consensus;
 
+import dev.waxwinghead.coordination.storage.HardState;
 import dev.waxwinghead.coordination.storage.LogEntry;
+import dev.waxwinghead.coordination.storage.ReplicaStorage.Recovered;
+import dev.waxwinghead.coordination.storage.Snapshot;
 import dev.waxwinghead.model.id.ReplicaId;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Function;
 
 /**
  * Records the history of a {@link ModelCluster} and throws an {@link AssertionError} if the history violates an
@@ -16,16 +20,45 @@
     private final Map<Long, ReplicaId> leadersByTerm = new HashMap<>();
     private final Map<Long, Committed> committedByIndex = new HashMap<>();
     private final Map<Long, Long> stateHashesByIndex = new HashMap<>();
+    private final Map<Ballot, ReplicaId> votes = new HashMap<>();
     private long lastCommitted;
     int installedSnapshots;
     int confirmedReads;
     int committedMemberships;
     int diskLosses;
+    int refusedHardStates;
+    int refusedEntries;
+    int refusedSnapshots;
+    int refusedCompactions;
+    int partialWrites;
+    int resumptions;
+    int crashesWhileRefusing;
+    int diskLossesWhileRefusing;
+    int progressChecksWhileRefusing;
+    int steadyLeaders;
 
     long lastCommitted() {
         return lastCommitted;
     }
 
+    Map<String, Integer> refusalCounts() {
+        return Map.ofEntries(
+                Map.entry("refused hard states", refusedHardStates),
+                Map.entry("refused entries", refusedEntries),
+                Map.entry("refused received snapshots", refusedSnapshots),
+                Map.entry("refused own snapshots", refusedCompactions),
+                Map.entry("partial writes", partialWrites),
+                Map.entry("resumptions", resumptions),
+                Map.entry("crashes while refusing", crashesWhileRefusing),
+                Map.entry("disk losses while refusing", diskLossesWhileRefusing),
+                Map.entry("progress with refusing hosts", progressChecksWhileRefusing),
+                Map.entry("leaders that remain", steadyLeaders),
+                Map.entry("committed entries", (int) lastCommitted),
+                Map.entry("confirmed reads", confirmedReads),
+                Map.entry("committed memberships", committedMemberships),
+                Map.entry("leaders", leaderCount()));
+    }
+
     int leaderCount() {
         return leadersByTerm.size();
     }
@@ -53,6 +86,89 @@
         ReplicaId candidate = vote.header().to();
         boolean removed = node.core.membership().removed().contains(candidate);
         check(!vote.granted() || !removed, "no node votes for a replica that it knows to be removed");
+        if (vote.granted() && !vote.preVote()) {
+            recordVote(node.replica(), vote.header().term(), candidate);
+        }
+    }
+
+    void checkCandidacy(Message.VoteRequest request) {
+        if (!request.preVote()) {
+            ReplicaId candidate = request.header().from();
+            recordVote(candidate, request.header().term(), candidate);
+        }
+    }
+
+    private void recordVote(ReplicaId voter, long term, ReplicaId candidate) {
+        ReplicaId first = votes.putIfAbsent(new Ballot(voter, term), candidate);
+        check(first == null || first.equals(candidate), voter + " votes once in term " + term);
+    }
+
+    /** Checks that a node whose disk refuses writes acknowledges nothing, and that what a node promises is on disk. */
+    void checkPromise(ModelNode node, Message message) {
+        boolean vote = message instanceof Message.VoteResponse response && response.granted();
+        boolean append = message instanceof Message.AppendResponse response && response.accepted();
+        check(!(vote || append) || !node.core.refusesWrites(), node.host + " promises nothing while its disk refuses");
+        if (message instanceof Message.VoteResponse response && response.granted() && !response.preVote()) {
+            checkVoteStored(node, response.header().term(), response.header().to());
+        }
+        if (message instanceof Message.VoteRequest request && !request.preVote()) {
+            checkVoteStored(node, request.header().term(), node.replica());
+        }
+        if (message instanceof Message.AppendResponse || message instanceof Message.SnapshotResponse) {
+            long storedTerm =
+                    node.storage.reopenAfterCrash().recovered().hardState().term();
+            check(storedTerm >= message.header().term(), node.host + " answers in a term that is on its disk");
+        }
+        if (message instanceof Message.AppendResponse response && response.accepted()) {
+            check(lastStored(node) >= response.index(), "entries that " + node.host + " accepts are on its disk");
+        }
+    }
+
+    /** Checks that a leader whose disk refuses writes resigns once the others commit without it. */
+    void checkResigned(ModelNode node) {
+        check(
+                !node.core.isLeader() || !node.core.refusesWrites() || node.core.commitIndex() <= lastStored(node),
+                "no leader commits what its disk refuses");
+    }
+
+    private static long lastStored(ModelNode node) {
+        Recovered stored = node.storage.reopenAfterCrash().recovered();
+        return Math.max(
+                stored.snapshot().map(Snapshot::lastIndex).orElse(0L),
+                stored.entries().stream().mapToLong(LogEntry::index).max().orElse(0));
+    }
+
+    private static void checkVoteStored(ModelNode node, long term, ReplicaId candidate) {
+        HardState stored = node.storage.reopenAfterCrash().recovered().hardState();
+        boolean held = stored.term() > term || stored.equals(new HardState(term, Optional.of(candidate)));
+        check(held, "the vote of " + node.host + " in term " + term + " is on its disk");
+    }
+
+    /** Checks that the entry which a leader has committed just now is on the disks of a majority. */
+    void checkStoredByMajority(ModelNode leader, Function<ReplicaId, Recovered> disks) {
+        long index = leader.core.commitIndex();
+        long term = leader.core.term(index);
+        long stored = leader.core.membership().voters().stream()
+                .filter(voter -> holds(disks.apply(voter.replica()), index, term))
+                .count();
+        check(
+                stored > leader.core.membership().voters().size() / 2,
+                "entry " + index + ", committed by " + leader.host + ", is on the disks of a majority");
+    }
+
+    private static boolean holds(Recovered disk, long index, long term) {
+        return disk.snapshot().filter(snapshot -> snapshot.lastIndex() >= index).isPresent()
+                || disk.entries().stream().anyMatch(entry -> entry.index() == index && entry.term() == term);
+    }
+
+    void checkProgress(boolean committed, int electionTimeouts) {
+        check(committed, "a proposal is committed within " + electionTimeouts + " election timeouts after the faults");
+    }
+
+    void checkSteady(ModelNode leader, long term) {
+        check(
+                leader.core.isLeader() && leader.core.term() == term,
+                "the leader of term " + term + " remains while no disk takes writes");
     }
 
     void checkConfirmedRead(long minIndex, long index) {
@@ -136,6 +252,9 @@
         }
     }
 
+    /** Identifies the only vote that a replica has in a term. */
+    private record Ballot(ReplicaId voter, long term) {}
+
     private static void check(boolean holds, String invariant) {
         if (!holds) {
             throw new AssertionError("invariant violated: " + invariant);
--- a/waxwinghead-coordination/src/test/java/dev/waxwinghead/coordination/consensus/ModelNode.java
+++ b/waxwinghead-coordination/src/test/java/dev/waxwinghead/coordination/consensus/ModelNode.java
@@ -11,12 +11,13 @@
 import java.util.Arrays;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 
 /** Simulates a host: a disk, a core while the host runs, and a state machine that hashes the applied entries. */
 final class ModelNode {
-    private static final ConsensusSettings SETTINGS = new ConsensusSettings(
+    static final ConsensusSettings SETTINGS = new ConsensusSettings(
             Duration.ofMillis(30), Duration.ofMillis(90), Duration.ofMillis(180), 48, 3, 16, 4, 4);
 
     final HostId host;
@@ -27,6 +28,12 @@
     /** The rate of the host's clock, in quarters of real time. */
     long clockRateQuarters = 4;
 
+    /** Whether the disk is full, and how many writes it takes nevertheless. */
+    boolean diskFull;
+
+    int remainingWrites;
+    long resumeAt;
+
     long applied;
     long stateHash;
     final Map<Long, Long> minReadIndexes = new HashMap<>();
@@ -87,41 +94,90 @@
         stateHash = stateHash * 31 + hash(entry);
     }
 
-    void compact() {
+    /** Lets the state machine's snapshot replace the log up to it. Returns false if the disk refuses the snapshot. */
+    boolean compact() {
         if (core == null || applied == 0) {
-            return;
+            return true;
         }
         byte[] state =
                 ByteBuffer.allocate(40).putLong(applied).putLong(stateHash).array();
-        core.compact(applied, state).ifPresent(storage::writeSnapshot);
+        Optional<Snapshot> snapshot = core.compact(applied, state);
+        if (snapshot.isPresent() && !takesWrite()) {
+            core.markRefused();
+            return false;
+        }
+        snapshot.ifPresent(storage::writeSnapshot);
+        return true;
+    }
+
+    /** Tries to resume the storage, which makes durable what it accepted before the refusal. Returns whether it did. */
+    boolean resume() {
+        if (!takesWrite()) {
+            return false;
+        }
+        storage.sync();
+        core.resumeWrites();
+        return true;
     }
 
     /**
      * Processes a {@link Ready} up to the crash point: 1 after the hard state, 2 before and 3 after the last sync; 0
-     * for none. Returns whether the node survived.
+     * for none.
      */
-    boolean process(Ready ready, int crashPoint, Consumer<Ready.Outbound> network) {
+    Outcome process(Ready ready, int crashPoint, Consumer<Ready.Outbound> network) {
         ready.immediate().forEach(network);
-        ready.hardState().ifPresent(storage::writeHardState);
-        if (crashPoint == 1) {
-            storage.sync();
-        }
-        ready.snapshot().ifPresent(storage::writeSnapshot);
-        if (!ready.entries().isEmpty()) {
-            storage.append(ready.entries());
+        if (!write(ready, crashPoint)) {
+            core.markRefused();
+            return Outcome.REFUSED;
         }
         if (crashPoint == 1 || crashPoint == 2) {
-            return false;
+            return Outcome.CRASHED;
         }
         storage.sync();
         if (crashPoint == 3) {
-            return false;
+            return Outcome.CRASHED;
         }
         core.markPersisted();
         ready.afterSync().forEach(network);
+        return Outcome.STORED;
+    }
+
+    private boolean write(Ready ready, int crashPoint) {
+        if (ready.hardState().isPresent()) {
+            if (!takesWrite()) {
+                return false;
+            }
+            storage.writeHardState(ready.hardState().get());
+        }
+        if (crashPoint == 1) {
+            storage.sync();
+        }
+        if (ready.snapshot().isPresent()) {
+            if (!takesWrite()) {
+                return false;
+            }
+            storage.writeSnapshot(ready.snapshot().get());
+        }
+        if (!ready.entries().isEmpty()) {
+            if (!takesWrite()) {
+                return false;
+            }
+            storage.append(ready.entries());
+        }
         return true;
     }
 
+    private boolean takesWrite() {
+        return !diskFull || remainingWrites-- > 0;
+    }
+
+    /** Enumerates the ways in which the processing of a {@link Ready} ends. */
+    enum Outcome {
+        STORED,
+        REFUSED,
+        CRASHED
+    }
+
     static long hash(LogEntry entry) {
         return Arrays.hashCode(entry.payload()) * 31L
                 + entry.term() * 17
