Wait for room when a core host starts on a full disk

A core host whose process was started while its disk takes no bytes ended with "can't open …: File too large" and was started again about every 0.7 s, which costs processor time and counts as a process that ends by itself.

Cause: a refused write was final during the opening of the data folder. Now the opening is repeated in the process after pauses from 100 ms to 1 s, and logged once (storage-refused, then storage-opened). Damage, a folder of another cluster, a folder in use, a failed sync and a folder without write permission still end the process. waxwingheadd is unchanged.

Ruled out: coming up without the data folder. The host would follow its leader, but could store neither a term nor a vote.

--- a/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/journal/FileReplicaStorage.java
+++ b/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/journal/FileReplicaStorage.java
@@ -65,6 +65,17 @@
         return open(folder, cluster, DEFAULT_SEGMENT_BYTES, new DefaultFileOperations());
     }
 
+    /**
+     * Returns whether an opening failed because the disk refused a write, such as a full disk. A later opening of the
+     * same folder may succeed then.
+     *
+     * @param failure the failure of {@link #open} or {@link BootstrapMark#writeIfFirstStart}, never null
+     * @return true if the failure is a refused write
+     */
+    public static boolean isRefusedWrite(WaxwingheadException failure) {
+        return failure.getCause() instanceof RefusedWriteException;
+    }
+
     static FileReplicaStorage open(Path folder, String cluster, int segmentBytes, FileOperations operations) {
         FileReplicaStorage storage = new FileReplicaStorage(operations, folder, segmentBytes);
         try {
--- a/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/journal/SyncMark.java
+++ b/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/journal/SyncMark.java
@@ -33,7 +33,11 @@
         long generation = read(operations, folder, operations.list(folder))
                 .map(Position::generation)
                 .orElse(0L);
-        return new SyncMark(operations.openAt(folder.resolve(FILE_NAME), SLOT_COUNT * SLOT_BYTES), generation);
+        try {
+            return new SyncMark(operations.openAt(folder.resolve(FILE_NAME), SLOT_COUNT * SLOT_BYTES), generation);
+        } catch (IOException e) {
+            throw new RefusedWriteException(e);
+        }
     }
 
     /** Returns the position of the newest valid slot, empty if there is none. */
@@ -58,7 +62,11 @@
                 ByteBuffer.allocate(SLOT_BYTES).putLong(next).putLong(segment).putLong(offset);
         slot.putInt(Checksums.of(slot.array(), 0, 3 * Long.BYTES));
         output.seek(next % SLOT_COUNT * SLOT_BYTES);
-        output.write(slot.array(), SLOT_BYTES);
+        try {
+            output.write(slot.array(), SLOT_BYTES);
+        } catch (IOException e) {
+            throw new RefusedWriteException(e);
+        }
         generation = next;
     }
 
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobHost.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobHost.java
@@ -75,7 +75,8 @@
     }
 
     /**
-     * Opens the data folder and the peer port and starts the replica and the scheduler.
+     * Opens the data folder and the peer port and starts the replica and the scheduler. Waits while the disk refuses
+     * writes.
      *
      * @param settings the settings of this host, with a data folder
      * @param ticker the monotonic clock
@@ -97,8 +98,10 @@
         JobSection jobs = new JobSection();
         JobClassSection classes = JobClassSection.create();
         Path folder = settings.dataFolder().orElseThrow();
-        boolean mayFormGroup = BootstrapMark.writeIfFirstStart(folder, settings.firstStart());
-        ReplicaStorage storage = closer.register(FileReplicaStorage.open(folder, settings.cluster()));
+        DiskWait disk = new DiskWait(settings.self(), folder);
+        boolean mayFormGroup = disk.untilWritten(() -> BootstrapMark.writeIfFirstStart(folder, settings.firstStart()));
+        ReplicaStorage storage =
+                closer.register(disk.untilWritten(() -> FileReplicaStorage.open(folder, settings.cluster())));
         TcpPeerNetwork network = closer.register(PeerNetworkFactory.open(settings, ticker));
         ReplicaNode log = closer.register(ReplicaNode.start(
                 replicaSettings(settings, mayFormGroup),
