Choose a port in JobHostTests that is free on all its hosts

One run failed once with "Address already in use", while five worktrees ran tests at once: the port was probed on the first of the three addresses only.

--- a/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/jobs/JobHostTests.java
+++ b/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/jobs/JobHostTests.java
@@ -9,6 +9,7 @@
 import dev.waxwinghead.scheduling.job.SchedulerTimes;
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import java.io.IOException;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.nio.file.Path;
@@ -35,9 +36,26 @@
 
     @BeforeEach
     void choosePort() throws IOException {
-        try (ServerSocket socket =
-                new ServerSocket(0, 1, InetAddress.getByName(SEEDS.get(0).value()))) {
-            peerPort = socket.getLocalPort();
+        do {
+            peerPort = bind(SEEDS.get(0), 0);
+        } while (!isFreeOnAllHosts());
+    }
+
+    private boolean isFreeOnAllHosts() throws IOException {
+        for (HostId host : SEEDS) {
+            try {
+                bind(host, peerPort);
+            } catch (BindException e) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /** Binds a port for a moment, any free one for 0, and returns it. */
+    private static int bind(HostId host, int port) throws IOException {
+        try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName(host.value()))) {
+            return socket.getLocalPort();
         }
     }
 
