Review: one failing lasting task has the whole fleet quarantined

Rule LOST: a task that lasts has nothing running from 6 s after its last run, beside idle workers. Cause: WorkerHealth.evaluate quarantines a worker where a job has failed four times if the job succeeds elsewhere. One sound task of a lasting job counts as that, so the failures of another task of it count against each worker that it visits, for a time that doubles. Nothing bounds the share of the workers.

--- a/review/standins-2/Worker.java
+++ b/review/standins-2/Worker.java
@@ -3,20 +3,22 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 
 /**
  * A stand-in for a worker that gets its orders in the answers to its status reports.
  *
- * <p>The {@code spec} of a submission tells what its tasks do, as words {@code work=MILLIS} and {@code end=HOW}.
+ * <p>The {@code spec} of a submission tells what its tasks do, as words: {@code work=MILLIS} and {@code end=HOW},
+ * {@code lasting}, {@code gang=SIZE}, and {@code failing=SUFFIX} for the tasks that fail soon after each start.
  */
 final class Worker implements Runnable {
     private static final long REPORT_MILLIS = 1500;
     private static final long END_REPORT_MILLIS = 50;
     private static final int ANSWER_MILLIS = 1000;
+    /** When a failing task fails: before it is at work. */
+    private static final long FAILS_AFTER_MILLIS = 150;
 
-    private static final Set<String> STARTED = ConcurrentHashMap.newKeySet();
+    private static final Map<String, String> STARTED = new ConcurrentHashMap<>();
 
     private final String id;
     private final String service;
@@ -38,6 +40,7 @@
     private volatile boolean down;
     private volatile boolean closed;
     private volatile long heldUntil;
+    private volatile long drainEnd;
 
     private static final class Run {
         final String task;
@@ -47,6 +50,7 @@
         final String end;
         final boolean lasting;
         final boolean gang;
+        final boolean failing;
 
         Run(String task, long attempt, String spec) {
             this.task = task;
@@ -55,6 +59,7 @@
             this.end = word(spec, "end", "done");
             this.lasting = spec.contains("lasting");
             this.gang = spec.contains("gang=");
+            this.failing = task.endsWith(word(spec, "failing", "none"));
         }
 
         long age() {
@@ -95,13 +100,24 @@
         closed = true;
     }
 
+    /** Reports that the worker drains, and leaves after some time. */
+    void leave(long millis) {
+        drainEnd = System.nanoTime() + millis * 1_000_000;
+        Record.line("worker %s drains and leaves after %d ms", id, millis);
+    }
+
     synchronized boolean idle() {
         return !down && running.isEmpty();
     }
 
     /** Returns whether a run of a task has ever started on any worker. */
     static boolean hasStarted(String task) {
-        return STARTED.contains(task);
+        return STARTED.containsKey(task);
+    }
+
+    /** Returns the worker and the run of the latest start of a task, empty if there was none. */
+    static String lastStart(String task) {
+        return STARTED.getOrDefault(task, "");
     }
 
     synchronized boolean runs(String task) {
@@ -223,6 +239,8 @@
                 how = gangs.end(run.task, run.attempt);
             } else if (!run.lasting && run.age() >= run.workMillis) {
                 how = run.end;
+            } else if (run.failing && run.age() >= FAILS_AFTER_MILLIS) {
+                how = "failed";
             } else if (run.lasting && !run.end.equals("never") && run.age() >= run.workMillis) {
                 how = run.end;
             }
@@ -256,13 +274,20 @@
             rows.add("[" + Json.quote(run.task) + "," + run.attempt + ",\"\"," + percent + ",500]");
         }
         return "{\"service\":" + Json.quote(service) + ",\"addr\":" + Json.quote(address)
-                + ",\"zone\":\"z-a\",\"version\":\"v1\",\"slots\":8,\"state\":\"ready\",\"cold_left_ms\":0"
+                + ",\"zone\":\"z-a\",\"version\":\"v1\",\"slots\":8,\"cold_left_ms\":0," + state()
                 + ",\"capacity\":{\"cpu\":16000,\"mem_mb\":64000,\"gpus\":0},\"labels\":[\"a\",\"r1-1\"]"
                 + ",\"machine\":\"m-" + id + "\",\"born\":" + born + ",\"current_ms\":"
                 + (System.currentTimeMillis() - born) + ",\"seq\":" + sequence + ",\"running\":[" + String.join(",", rows)
                 + "],\"finished\":[" + String.join(",", finished) + "]}";
     }
 
+    private String state() {
+        long remaining = Math.max(0, (drainEnd - System.nanoTime()) / 1_000_000);
+        return drainEnd == 0
+                ? "\"state\":\"ready\""
+                : "\"state\":\"draining\",\"remaining_ms\":" + remaining;
+    }
+
     private long obey(String body, long sent) {
         Map<String, Object> answer = Json.object(body);
         long given = answer.containsKey("fence") ? Json.number(answer.get("fence")) : 0;
@@ -301,7 +326,7 @@
             return;
         }
         running.put(task, new Run(task, attempt, spec));
-        STARTED.add(task);
+        STARTED.put(task, id + "/" + attempt);
         if (spec.contains("gang=")) {
             gangs.present(
                     task,
