Complete all members of a gang with the first reported completion

Cause: the first reported completion of a gang completed only the members with a live run. A member whose worker had crashed, or whose lease had expired, before it reported has none: its run had ended as interrupted. The member stayed incomplete, so the planner started the next attempt of the gang, and the table dropped the starts of the completed members and kept that of the lone one.

Ruled out: a lost or unacknowledged report of the other member (its end is logged as completed); a plan made before the end was applied (the starts follow it, and a gang with a live run gets no plan); the new incarnation of the worker (the same happens after the end of a lease, and after a change of the scheduler, which the tests show).

A completion applies to the step now, whatever runs its members have. A restored table completes the gangs that an earlier version has completed in part, and their jobs; runs that are left are stopped and end as usual.

--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/JobTable.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/JobTable.java
@@ -240,13 +240,12 @@
     /** Completes all members of a gang: they complete together, so the first reported completion applies to all. */
     private void completeGang(TaskKey key, StepRecord step) {
         for (int index = 0; index < step.tasks().size(); index++) {
-            TaskRecord member = step.tasks().get(index);
-            TaskKey memberKey = new TaskKey(key.job(), key.occurrence(), key.step(), index);
-            for (TaskRecord.LiveRun run : List.copyOf(member.liveRuns())) {
-                step.end(member, run, RunEnd.COMPLETED, "", CheckpointRecency.UNKNOWN);
-                removeRun(run.worker(), new RunKey(memberKey, run.attempt()));
+            TaskKey member = new TaskKey(key.job(), key.occurrence(), key.step(), index);
+            for (TaskRecord.LiveRun run : step.tasks().get(index).liveRuns()) {
+                removeRun(run.worker(), new RunKey(member, run.attempt()));
             }
         }
+        step.completeGang();
     }
 
     private void updateJobState(JobRecord job, StepRecord step, TaskRecord task) {
@@ -341,6 +340,9 @@
             }
         }
         record.occurrences().forEach(steps -> steps.forEach(StepRecord::restore));
+        if (!state.ended() && record.allCompleted()) {
+            record.state(JobState.DONE);
+        }
         add(record);
     }
 
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/StepRecord.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/StepRecord.java
@@ -116,8 +116,24 @@
         }
     }
 
-    /** Restores what follows from the state of the tasks. */
+    /** Completes all tasks, including those whose run was lost before it reported its completion. */
+    void completeGang() {
+        for (TaskRecord task : tasks) {
+            liveRuns -= task.liveRuns().size();
+            task.liveRuns().clear();
+            task.complete();
+        }
+        completed = tasks.size();
+    }
+
+    /**
+     * Restores what follows from the state of the tasks. An earlier version completed only those members of a gang that
+     * had a live run.
+     */
     void restore() {
+        if (step.gang() && tasks.stream().anyMatch(TaskRecord::completed)) {
+            tasks.forEach(TaskRecord::complete);
+        }
         completed = (int) tasks.stream().filter(TaskRecord::completed).count();
         liveRuns = tasks.stream().mapToInt(task -> task.liveRuns().size()).sum();
         if (step.gang()) {
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TaskRecord.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TaskRecord.java
@@ -92,8 +92,7 @@
     void end(LiveRun run, RunEnd end, String saved) {
         liveRuns.remove(run);
         if (end == RunEnd.COMPLETED) {
-            completed = true;
-            crashes = 0;
+            complete();
         } else if (end == RunEnd.FAILED) {
             failures++;
             crashes = 0;
@@ -107,6 +106,12 @@
         }
     }
 
+    /** Completes the task; a member of a gang completes without an end of its own. */
+    void complete() {
+        completed = true;
+        crashes = 0;
+    }
+
     void restore(int attemptsSoFar, int failuresSoFar, boolean isCompleted, String saved) {
         attempts = attemptsSoFar;
         failures = failuresSoFar;
--- a/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobSchedulerTests.java
+++ b/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobSchedulerTests.java
@@ -450,6 +450,90 @@
         }
     }
 
+    /** Guards against a completed gang that starts again since a worker was lost before it reported the completion. */
+    @Nested
+    class GangsThatCompleteAfterTheLossOfAWorker {
+        @BeforeEach
+        void startGang() {
+            accept("g1", JobFixtures.gang(2, 3000), JobFixtures.step(1, List.of(0)));
+            report(W1);
+            report(W22);
+            commit(plan());
+            assertThat(table.runsOn(W1)).hasSize(1);
+            assertThat(table.runsOn(W22)).hasSize(1);
+        }
+
+        @Test
+        void doNotStartAgainAfterACrash() {
+            replace(W1);
+            commit(plan());
+            assertCompletesWithTheReportOf(W22);
+        }
+
+        @Test
+        void doNotStartAgainAfterACrashOfTheOtherWorker() {
+            replace(W22);
+            commit(plan());
+            assertCompletesWithTheReportOf(W1);
+        }
+
+        @Test
+        void doNotStartAgainAfterTheEndOfALease() {
+            RunKey run = runOn(W22);
+            now += TimeUnit.MILLISECONDS.toNanos(9000);
+            report(W22, running("g1", run.task().index(), 1, 50));
+            now += TimeUnit.MILLISECONDS.toNanos(1600);
+            commit(plan());
+            assertThat(table.runsOn(W1)).isEmpty();
+            assertCompletesWithTheReportOf(W22);
+        }
+
+        @Test
+        void doNotStartAgainAfterALossThatAnEarlierSchedulerCommitted() {
+            replace(W1);
+            commit(plan());
+            scheduler = newScheduler();
+            acquire();
+            assertCompletesWithTheReportOf(W22);
+        }
+
+        @Test
+        void doNotStartAgainIfTheSchedulerChangesBeforeTheLossIsCommitted() {
+            scheduler = newScheduler();
+            acquire();
+            replace(W1);
+            report(JobFixtures.incarnation("w1", 2));
+            commit(plan());
+            assertCompletesWithTheReportOf(W22);
+        }
+
+        @Test
+        void doNotStartAgainIfTheLossIsCommittedWithTheReport() {
+            replace(W1);
+            assertCompletesWithTheReportOf(W22);
+        }
+
+        private void assertCompletesWithTheReportOf(WorkerIncarnation worker) {
+            EndedRun end = new EndedRun(1, runOn(worker), ReportedEnd.COMPLETED, "");
+            report(worker, end);
+            commit(plan());
+            assertThat(report(worker, end).acknowledged()).isEqualTo(1);
+            commit(plan());
+            StepRecord gang = table.find(JobId.of("g1")).orElseThrow().step(runOfStep(0).task());
+            assertThat(gang.completed()).isTrue();
+            assertThat(gang.liveRuns()).isEqualTo(0);
+            assertThat(runOn(worker)).isEqualTo(runOfStep(1));
+        }
+
+        private RunKey runOfStep(int step) {
+            return JobFixtures.run("g1", step, 0, 1);
+        }
+
+        private RunKey runOn(WorkerIncarnation worker) {
+            return table.runsOn(worker).iterator().next();
+        }
+    }
+
     /** Guards against unproven workers that get no tasks since starts without an end are counted against them. */
     @Nested
     class StartsOnUnprovenWorkers {
--- a/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobTableTests.java
+++ b/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobTableTests.java
@@ -177,6 +177,43 @@
         }
     }
 
+    /** Guards against a gang of which an earlier version has completed only the members with a live run. */
+    @Nested
+    class RestoringAPartlyCompletedGang {
+        private final JobCommand.Accept gang = JobFixtures.accept("g1", JobFixtures.gang(2, 1000));
+
+        @Test
+        void completesAllMembers() {
+            table.restore(gang, JobState.RUNNING, List.of(member(0, false), member(1, true)));
+            assertThat(job("g1").state()).isEqualTo(JobState.DONE);
+            assertThat(table.active()).isEmpty();
+        }
+
+        @Test
+        void doesNotChangeACanceledJob() {
+            table.restore(gang, JobState.CANCELED, List.of(member(0, false), member(1, true)));
+            assertThat(job("g1").state()).isEqualTo(JobState.CANCELED);
+        }
+
+        @Test
+        void keepsARunUntilItsEndIsApplied() {
+            TaskRecord.LiveRun alone = new TaskRecord.LiveRun(2, WORKER);
+            JobTable.RestoredTask running =
+                    new JobTable.RestoredTask(JobFixtures.run("g1", 0, 0, 2).task(), 2, 0, false, "", List.of(alone));
+            table.restore(gang, JobState.RUNNING, List.of(running, member(1, true)));
+            assertThat(table.runsOn(WORKER)).containsExactly(JobFixtures.run("g1", 0, 0, 2));
+            end("g1", 0, 0, 2, RunEnd.INTERRUPTED);
+            assertThat(table.runsOn(WORKER)).isEmpty();
+            assertThat(job("g1").liveRuns()).isEqualTo(0);
+            assertThat(job("g1").state()).isEqualTo(JobState.DONE);
+        }
+
+        private JobTable.RestoredTask member(int index, boolean completed) {
+            return new JobTable.RestoredTask(
+                    JobFixtures.run("g1", 0, index, 1).task(), 1, 0, completed, "", List.of());
+        }
+    }
+
     private JobOutcome apply(JobCommand command) {
         return table.apply(++index, command);
     }
