Start lasting tasks again after a run that has completed

Cause: the planner committed the end "completed" of a lasting task like that of a finite one. The table then held the task as completed, which no start may follow, and the job as done once its last task had completed. Only failures and interruptions were followed by another start.

Ruled out: capacity and quarantine (seven workers are idle, and no "job-waiting" is logged); an end that is not acknowledged (the job ends at once).

The planner commits such an end as an interruption now that also shows that the start crashes no workers. A lasting task that an earlier version has completed in a job that goes on is started again.

Members of a lasting gang end one by one, and the gang starts again once all have ended.

Tests: JobSchedulerTests.LastingTasksThatComplete, 7 of 8 failed before; the eighth guards what held (a completed run clears the task of suspicion).

--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/JobTable.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/JobTable.java
@@ -205,7 +205,7 @@
         boolean mayAddRun = task.liveRuns().isEmpty() || step.step().speculative();
         int attempt = started.run().attempt();
         boolean nextAttempt = step.step().gang() ? attempt > task.attempts() : attempt == task.attempts() + 1;
-        if (task.completed() || !mayAddRun || !nextAttempt) {
+        if (step.finished(task) || !mayAddRun || !nextAttempt) {
             return;
         }
         step.start(task, attempt, started.worker());
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/ReportHandler.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/ReportHandler.java
@@ -129,7 +129,7 @@
         if (job.isEmpty() || job.get().state().ended()) {
             return Optional.of("job-ended");
         }
-        if (job.get().task(run.task()).completed()) {
+        if (job.get().step(run.task()).finished(job.get().task(run.task()))) {
             return Optional.of("completed-elsewhere");
         }
         RunObservation observed = entry.observations().get(run);
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/RunEnd.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/RunEnd.java
@@ -6,7 +6,7 @@
  * @since 0.2
  */
 public enum RunEnd {
-    /** The task has completed. */
+    /** The task has completed; never the end of a lasting task, which runs until its job is canceled. */
     COMPLETED(1),
     /** The run failed; the failure counts against the task's attempts. */
     FAILED(2),
@@ -19,12 +19,12 @@
      */
     WORKER_CRASHED(4),
     /**
-     * The worker was lost after the run had been up for a while, which shows that the start of the task crashes no
-     * workers; the task may start again.
+     * The run was interrupted, or the run of a lasting task ended, in a way that shows that the start of the task crashes
+     * no workers; the task may start again.
      *
      * @since 0.3
      */
-    LOST_AFTER_START(5);
+    INTERRUPTED_AFTER_START(5);
 
     private final int code;
 
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/SchedulerState.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/SchedulerState.java
@@ -142,7 +142,7 @@
     /** Returns whether a run that ends may be followed by another run of its task. */
     boolean mayRunAgain(TaskKey task) {
         return table.find(task.job())
-                .filter(job -> !job.state().ended() && !job.task(task).completed())
+                .filter(job -> !job.state().ended() && !job.step(task).finished(job.task(task)))
                 .isPresent();
     }
 
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/StartPlan.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/StartPlan.java
@@ -66,7 +66,7 @@
         for (int index = 0; index < step.tasks().size(); index++) {
             TaskRecord task = step.tasks().get(index);
             boolean replacement = isReplaceable(step.step()) && task.attempts() > 0;
-            if (task.completed() || !task.liveRuns().isEmpty() || replacement != replacements) {
+            if (step.finished(task) || !task.liveRuns().isEmpty() || replacement != replacements) {
                 continue;
             }
             TaskKey key = new TaskKey(job.id(), occurrence, position, index);
@@ -125,7 +125,7 @@
     /** Starts all members of a gang or none; a gang without a place takes no capacity from the jobs behind it. */
     private void addGang(
             JobRecord job, int occurrence, int position, StepRecord step, Map<WorkerId, Integer> perWorker) {
-        if (step.completed() || step.liveRuns() > 0) {
+        if (step.tasks().stream().allMatch(step::finished) || step.liveRuns() > 0) {
             return;
         }
         int attempt =
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/StepRecord.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/StepRecord.java
@@ -46,13 +46,26 @@
         return completed == tasks.size();
     }
 
+    /**
+     * Returns whether a task needs no further run. A lasting task always does, even one that an earlier version has
+     * completed.
+     *
+     * @param task a task of this step
+     * @return true if the task has completed and is not lasting
+     * @since 0.3
+     */
+    public boolean finished(TaskRecord task) {
+        return task.completed() && !step.lasting();
+    }
+
     /**
      * Returns whether a task may be waiting for a start. Always true for speculative steps.
      *
      * @return true if a task may be waiting
      */
     public boolean mayHaveWaitingTasks() {
-        return completed + liveRuns < tasks.size() || step.speculative();
+        int finished = step.lasting() ? 0 : completed;
+        return finished + liveRuns < tasks.size() || step.speculative();
     }
 
     /**
@@ -131,7 +144,7 @@
      * had a live run.
      */
     void restore() {
-        if (step.gang() && tasks.stream().anyMatch(TaskRecord::completed)) {
+        if (step.gang() && tasks.stream().anyMatch(this::finished)) {
             tasks.forEach(TaskRecord::complete);
         }
         completed = (int) tasks.stream().filter(TaskRecord::completed).count();
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TaskRecord.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TaskRecord.java
@@ -98,7 +98,7 @@
             crashes = 0;
         } else if (end == RunEnd.WORKER_CRASHED) {
             crashes++;
-        } else if (end == RunEnd.LOST_AFTER_START) {
+        } else if (end == RunEnd.INTERRUPTED_AFTER_START) {
             crashes = 0;
         }
         if (!saved.isEmpty()) {
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TransitionPlanner.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TransitionPlanner.java
@@ -59,13 +59,21 @@
             entry.ends().values().removeIf(end -> !state.table().isLive(entry.incarnation(), end.run()));
             for (WorkerReport.EndedRun end : entry.ends().values()) {
                 if (plan.size() < MAX_TRANSITIONS) {
-                    plan.add(new JobTransition.Ended(end.run(), end.end().runEnd(), end.checkpoint(), recency(end)));
+                    plan.add(new JobTransition.Ended(end.run(), effect(end), end.checkpoint(), recency(end)));
                     recordEnd(entry, end, now);
                 }
             }
         }
     }
 
+    /** Returns the effect of a reported end on its task; a lasting task starts again however its runs end. */
+    private RunEnd effect(WorkerReport.EndedRun end) {
+        RunEnd effect = end.end().runEnd();
+        boolean startsAgain = effect == RunEnd.COMPLETED
+                && state.step(end.run().task()).filter(JobStep::lasting).isPresent();
+        return startsAgain ? RunEnd.INTERRUPTED_AFTER_START : effect;
+    }
+
     /**
      * Ends runs that are to stop and that no answer can start any more: no report ever lists them, so they would keep
      * their capacity. Limited to tasks that have no further run, which a late listing of the run could overlap.
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/WorkerEntry.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/WorkerEntry.java
@@ -138,7 +138,7 @@
     /** Returns how a run without a reported end ends once the worker is lost. */
     RunEnd endOnLoss(RunKey run) {
         if (hasSurvivedStart(run)) {
-            return RunEnd.LOST_AFTER_START;
+            return RunEnd.INTERRUPTED_AFTER_START;
         }
         return crashed && startsSent.containsKey(run) ? RunEnd.WORKER_CRASHED : RunEnd.INTERRUPTED;
     }
--- a/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobFixtures.java
+++ b/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobFixtures.java
@@ -44,6 +44,14 @@
     }
 
     static JobStep gang(int count, long millicores) {
+        return gang(count, millicores, false);
+    }
+
+    static JobStep lastingGang(int count, long millicores) {
+        return gang(count, millicores, true);
+    }
+
+    private static JobStep gang(int count, long millicores, boolean lasting) {
         return new JobStep(
                 count,
                 Resources.of(millicores, 1000, 0),
@@ -56,7 +64,7 @@
                 "",
                 0,
                 false,
-                false,
+                lasting,
                 "batch",
                 0,
                 false,
--- a/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobSchedulerTests.java
+++ b/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobSchedulerTests.java
@@ -569,6 +569,120 @@
         }
     }
 
+    /** Guards against lasting tasks that are never started again, and jobs that end, once a run has completed. */
+    @Nested
+    class LastingTasksThatComplete {
+        private static final JobStep LASTING = JobFixtures.step(1, List.of(), true, false, 0);
+
+        @Test
+        void startAgain() {
+            accept("s1", LASTING);
+            startAll(W1);
+            report(W1, ended(1, "s1", 0, 1, ReportedEnd.COMPLETED));
+            commit(plan());
+            assertThat(state("s1")).isEqualTo(JobState.RUNNING);
+            commit(plan());
+            assertThat(table.runsOn(W1)).containsExactly(JobFixtures.run("s1", 0, 0, 2));
+        }
+
+        @Test
+        void startAgainHoweverOftenTheyComplete() {
+            accept("s1", LASTING);
+            startAll(W1);
+            for (int attempt = 1; attempt <= 10; attempt++) {
+                report(W1, ended(attempt, "s1", 0, attempt, ReportedEnd.COMPLETED));
+                commit(plan());
+                commit(plan());
+            }
+            assertThat(state("s1")).isEqualTo(JobState.RUNNING);
+            assertThat(table.runsOn(W1)).containsExactly(JobFixtures.run("s1", 0, 0, 11));
+        }
+
+        @Test
+        void startAgainAfterAChangeOfTheScheduler() {
+            accept("s1", LASTING);
+            startAll(W1);
+            report(W1, ended(1, "s1", 0, 1, ReportedEnd.COMPLETED));
+            commit(plan());
+            scheduler = newScheduler();
+            acquire();
+            startAll(W1);
+            assertThat(table.runsOn(W1)).containsExactly(JobFixtures.run("s1", 0, 0, 2));
+        }
+
+        @Test
+        void startAgainBesideFiniteTasksThatAreDone() {
+            accept("s1", LASTING, JobFixtures.step(1, List.of()));
+            startAll(W1);
+            report(W1, new EndedRun(1, JobFixtures.run("s1", 1, 0, 1), ReportedEnd.COMPLETED, ""));
+            commit(plan());
+            report(W1, ended(2, "s1", 0, 1, ReportedEnd.COMPLETED));
+            commit(plan());
+            commit(plan());
+            assertThat(state("s1")).isEqualTo(JobState.RUNNING);
+            assertThat(table.runsOn(W1)).containsExactly(JobFixtures.run("s1", 0, 0, 2));
+        }
+
+        @Test
+        void doNotStartAgainOnceTheJobIsCanceled() {
+            accept("s1", LASTING);
+            startAll(W1);
+            report(W1, ended(1, "s1", 0, 1, ReportedEnd.COMPLETED));
+            commit(plan());
+            table.apply(++index, new JobCommand.Cancel(JobId.of("s1")));
+            commit(plan());
+            assertThat(state("s1")).isEqualTo(JobState.CANCELED);
+            assertThat(table.runsOn(W1)).isEmpty();
+        }
+
+        @Test
+        void areNoLongerSuspectedToCrashTheirWorkers() {
+            accept("s1", LASTING);
+            startAll(W1);
+            commitEnd(1, RunEnd.WORKER_CRASHED);
+            startAll(W1);
+            report(W1, ended(1, "s1", 0, 2, ReportedEnd.COMPLETED));
+            commit(plan());
+            TaskRecord task = table.find(JobId.of("s1")).orElseThrow().task(task());
+            assertThat(task.suspect()).isFalse();
+        }
+
+        @Test
+        void startAgainAsAGangOnceAllMembersHaveEnded() {
+            accept("g1", JobFixtures.lastingGang(2, 3000));
+            report(W1);
+            startAll(W22);
+            int first = table.runsOn(W1).iterator().next().task().index();
+            report(W1, ended(1, "g1", first, 1, ReportedEnd.COMPLETED));
+            commit(plan());
+            commit(plan());
+            assertThat(table.runsOn(W1)).isEmpty();
+            report(W22, ended(1, "g1", 1 - first, 1, ReportedEnd.COMPLETED));
+            commit(plan());
+            commit(plan());
+            assertThat(state("g1")).isEqualTo(JobState.RUNNING);
+            assertThat(table.find(JobId.of("g1")).orElseThrow().liveRuns()).isEqualTo(2);
+        }
+
+        @Test
+        void startAgainIfAnEarlierVersionHasCompletedThem() {
+            accept("s1", JobFixtures.step(2, List.of(), true, false, 0));
+            startAll(W1);
+            commitEnd(1, RunEnd.COMPLETED);
+            startAll(W1);
+            assertThat(table.runsOn(W1))
+                    .containsExactly(JobFixtures.run("s1", 0, 0, 2), JobFixtures.run("s1", 0, 1, 1));
+        }
+
+        private void commitEnd(int attempt, RunEnd end) {
+            commit(List.of(new JobTransition.Ended(new RunKey(task(), attempt), end, "")));
+        }
+
+        private static TaskKey task() {
+            return JobFixtures.run("s1", 0, 0, 1).task();
+        }
+    }
+
     @Nested
     class RestartingLastingTasks {
         @Test
@@ -965,10 +1079,10 @@
                     .attempts();
             return JobFixtures.run(job, 0, 0, attempts);
         }
+    }
 
-        private JobState state(String job) {
-            return table.find(JobId.of(job)).orElseThrow().state();
-        }
+    private JobState state(String job) {
+        return table.find(JobId.of(job)).orElseThrow().state();
     }
 
     private JobScheduler newScheduler() {
