--- a/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/jobs/JobSectionTests.java
+++ b/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/jobs/JobSectionTests.java
@@ -12,6 +12,7 @@
 import dev.waxwinghead.scheduling.job.JobCommand;
 import dev.waxwinghead.scheduling.job.JobRecord;
 import dev.waxwinghead.scheduling.job.JobSchedule;
+import dev.waxwinghead.scheduling.job.JobState;
 import dev.waxwinghead.scheduling.job.JobStep;
 import dev.waxwinghead.scheduling.job.JobSubmission;
 import dev.waxwinghead.scheduling.job.JobTerms;
@@ -53,6 +54,9 @@
                     + "0E0gKUsDVjMGU3YTIxZDk0YjM2ZjgAAAABAMKldzU1MDCQsDVjMGU3YTIxZDk0YjM2ZjgAAAEBAMKldzU1MDCQsDVjMGU3YTIxZDk0"
                     + "YjM2ZjgAAAIBAMKldzU1MDCQsDVjMGU3YTIxZDk0YjM2ZjgAAAMBAMKldzI1MDCQkA==";
 
+    /** The same, but the first member has completed: its flag is 0xc3 instead of 0xc2. */
+    private static final String EARLIER_PARTLY_COMPLETED = EARLIER_ENDED.replaceFirst("AMKl", "AMOl");
+
     private final JobSection section = new JobSection();
     private long index;
 
@@ -150,6 +154,29 @@
             assertThat(nextStarts()).hasSize(1);
         }
 
+        /** Guards against a completed gang that starts again since a member was lost before it reported the end. */
+        @Test
+        void completeAfterASnapshotThatFollowsTheLossOfAMember() {
+            section.restore(bytes(EARLIER_RUNNING));
+            end(0, "", CheckpointRecency.UNKNOWN);
+            JobSection restored = new JobSection();
+            restored.restore(section.snapshot());
+            byte[] end = JobCodec.pack(new JobCommand.Advance(
+                    section.table().epoch(), List.of(new JobTransition.Ended(run(1), RunEnd.COMPLETED, ""))));
+            assertThat(restored.apply(100, end)).isEqualTo(section.apply(100, end));
+            assertThat(restored.snapshot()).isEqualTo(section.snapshot());
+            assertThat(restored.table().find(JOB).orElseThrow().state()).isEqualTo(JobState.DONE);
+        }
+
+        @Test
+        void areCompletedIfAnEarlierVersionHasCompletedSomeMembers() {
+            section.restore(bytes(EARLIER_PARTLY_COMPLETED));
+            JobRecord job = section.table().find(JOB).orElseThrow();
+            assertThat(job.step(run(0).task()).completed()).isTrue();
+            assertThat(job.state()).isEqualTo(JobState.DONE);
+            assertThat(section.table().active()).isEmpty();
+        }
+
         @Test
         void writeEndsWithoutRanksLikeAnEarlierVersion() {
             assertThat(JobCodec.pack(JobCodec.unpack(bytes(EARLIER_ENDS)))).isEqualTo(bytes(EARLIER_ENDS));
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/RunEnd.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/RunEnd.java
@@ -19,8 +19,8 @@
      */
     WORKER_CRASHED(4),
     /**
-     * The run was interrupted, or the run of a lasting task ended, in a way that shows that the start of the task crashes
-     * no workers; the task may start again.
+     * The run was interrupted, or the run of a lasting task ended, in a way that shows that the start of the task
+     * crashes no workers; the task may start again.
      *
      * @since 0.3
      */
--- a/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobSchedulerTests.java
+++ b/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobSchedulerTests.java
@@ -519,7 +519,8 @@
             commit(plan());
             assertThat(report(worker, end).acknowledged()).isEqualTo(1);
             commit(plan());
-            StepRecord gang = table.find(JobId.of("g1")).orElseThrow().step(runOfStep(0).task());
+            StepRecord gang =
+                    table.find(JobId.of("g1")).orElseThrow().step(runOfStep(0).task());
             assertThat(gang.completed()).isTrue();
             assertThat(gang.liveRuns()).isEqualTo(0);
             assertThat(runOn(worker)).isEqualTo(runOfStep(1));
--- a/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobTableTests.java
+++ b/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobTableTests.java
@@ -209,8 +209,7 @@
         }
 
         private JobTable.RestoredTask member(int index, boolean completed) {
-            return new JobTable.RestoredTask(
-                    JobFixtures.run("g1", 0, index, 1).task(), 1, 0, completed, "", List.of());
+            return new JobTable.RestoredTask(JobFixtures.run("g1", 0, index, 1).task(), 1, 0, completed, "", List.of());
         }
     }
 
