Play random histories of all kinds of tasks

The histories of JobSchedulerModelTests had no lasting task that completes, no gang of which only one member reports the completion, no schedule, no speculative step and no restored table. ModelFleet plays these in histories of their own, whose draws leave the earlier seeds as they are.

--- a/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobSchedulerModelTests.java
+++ b/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobSchedulerModelTests.java
@@ -16,7 +16,18 @@
     @Test
     void roomEqualsWhatRunsAndTasksRunOnceAndInTime() {
         for (long seed = FIRST_SEED; seed < FIRST_SEED + HISTORIES; seed++) {
-            play(seed);
+            play(seed, false);
+        }
+    }
+
+    /**
+     * Guards against gangs that start again after one member has reported their completion, and lasting tasks that do
+     * not start again after a run has completed.
+     */
+    @Test
+    void holdsForAllKindsOfTasks() {
+        for (long seed = FIRST_SEED; seed < FIRST_SEED + HISTORIES; seed++) {
+            play(seed, true);
         }
     }
 
@@ -24,12 +35,19 @@
     @ParameterizedTest
     @ValueSource(longs = {2, 228, 1847, 2535, 3030, 4124})
     void holdsForHistoriesThatFailedBefore(long seed) {
-        play(seed);
+        play(seed, false);
+    }
+
+    /** Guards against the faults of a gang that starts again (1058) and of a lasting task that does not (7). */
+    @ParameterizedTest
+    @ValueSource(longs = {7, 1058})
+    void holdsForHistoriesOfAllKindsThatFailedBefore(long seed) {
+        play(seed, true);
     }
 
-    private static void play(long seed) {
+    private static void play(long seed, boolean allKinds) {
         try {
-            new ModelFleet(seed, Boolean.getBoolean("trace")).run();
+            new ModelFleet(seed, Boolean.getBoolean("trace"), allKinds).run();
         } catch (AssertionError e) {
             throw new AssertionError("seed " + seed + ": " + e.getMessage(), e);
         }
--- a/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/ModelFleet.java
+++ b/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/ModelFleet.java
@@ -56,6 +56,9 @@
     private static final long NO_EPOCH = -1;
 
     private final Random random;
+    /** Draws what histories of all kinds of tasks have beyond the others, whose draws stay the same. */
+    private final Optional<Random> kinds;
+
     private final boolean tracing;
     private final JobTable table = JobTable.create();
     private final PriorityQueue<Event> events =
@@ -79,8 +82,15 @@
     private long eventNumber;
     private long logIndex;
 
-    ModelFleet(long seed, boolean tracing) {
+    /**
+     * Creates a fleet.
+     *
+     * @param allKinds whether the history also has scheduled jobs, speculative steps, lasting gangs, lasting tasks that
+     *     complete, crashes before an end is reported, and tables restored from a snapshot
+     */
+    ModelFleet(long seed, boolean tracing, boolean allKinds) {
         this.random = new Random(seed);
+        this.kinds = allKinds ? Optional.of(new Random(~seed)) : Optional.empty();
         this.tracing = tracing;
         this.lossShare = random.nextBoolean() ? 0 : 0.2 * random.nextDouble();
         this.delayShare = random.nextBoolean() ? 0 : 0.3 * random.nextDouble();
@@ -129,6 +139,17 @@
         return table.find(task.job()).orElseThrow().step(task).step();
     }
 
+    /** Returns after which time a lasting run completes by itself, empty if it runs on. */
+    Optional<Long> completesAfter(JobStep step) {
+        return disturbed && step.lasting() && chance(0.3)
+                ? Optional.of(1L + kinds.get().nextInt(2000))
+                : Optional.empty();
+    }
+
+    private boolean chance(double share) {
+        return kinds.isPresent() && kinds.get().nextDouble() < share;
+    }
+
     boolean fails(JobStep step) {
         return disturbed && !step.gang() && random.nextDouble() < failureShare;
     }
@@ -161,6 +182,12 @@
     }
 
     private void disturbance() {
+        if (chance(0.1)) {
+            workers.stream().filter(each -> !each.ends().isEmpty()).findFirst().ifPresent(this::crash);
+        }
+        if (chance(0.05)) {
+            restoreTable();
+        }
         ModelWorker worker = workers.get(random.nextInt(workers.size()));
         switch (random.nextInt(12)) {
             case 0, 1, 2, 3 -> submit();
@@ -184,11 +211,11 @@
             boolean waits = position > 0
                     && random.nextInt(3) > 0
                     && !steps.get(position - 1).lasting();
-            steps.add(randomStep(waits ? List.of(position - 1) : List.of()));
+            steps.add(ofAnyKind(randomStep(waits ? List.of(position - 1) : List.of())));
         }
         JobTerms terms = new JobTerms(
                 JobClassName.of("c" + random.nextInt(3)), ServiceName.of("orders"), random.nextInt(3), 3, 1.5, 5000);
-        JobSubmission submission = new JobSubmission(id, "p", steps, JobSchedule.ONCE);
+        JobSubmission submission = new JobSubmission(id, "p", steps, schedule());
         if (random.nextInt(10) == 0) {
             table.apply(++logIndex, new JobCommand.Cancel(id));
         }
@@ -224,6 +251,35 @@
                 0);
     }
 
+    private JobSchedule schedule() {
+        return chance(0.2)
+                ? new JobSchedule(
+                        2, nowMillis + kinds.get().nextInt(3000), kinds.get().nextInt(2000))
+                : JobSchedule.ONCE;
+    }
+
+    private JobStep ofAnyKind(JobStep step) {
+        boolean lasting = step.lasting() || (step.gang() && chance(0.3));
+        boolean speculative = chance(0.2);
+        return new JobStep(
+                step.count(),
+                step.need(),
+                step.estimateMillis(),
+                step.after(),
+                step.checkpoints(),
+                step.gang(),
+                step.sameRack(),
+                step.requiredLabel(),
+                step.dataRack(),
+                step.maxPerWorker(),
+                speculative,
+                lasting,
+                step.image(),
+                step.targetMillis(),
+                step.bestEffort(),
+                step.maxUnavailable());
+    }
+
     private void cancel() {
         JobId[] active = table.active().toArray(NO_JOBS);
         if (active.length > 0) {
@@ -376,6 +432,13 @@
         host.epoch = NO_EPOCH;
     }
 
+    /** Replaces the table by one that is restored from its snapshot, with which a scheduler takes over. */
+    private void restoreTable() {
+        trace("the table is restored");
+        TableSnapshot.of(table).restore(table);
+        hosts.forEach(this::resign);
+    }
+
     private void pollPlan() {
         hosts.forEach(this::step);
         at(POLL_MILLIS, this::pollPlan);
@@ -487,7 +550,12 @@
                 "%s exceeds the capacity of %s",
                 run.key(),
                 worker.incarnation());
-        List<JobStep> steps = table.find(task.job()).orElseThrow().submission().steps();
+        JobSubmission submission = table.find(task.job()).orElseThrow().submission();
+        require(
+                submission.schedule().dueEpochMillis(task.occurrence()) <= nowMillis,
+                "%s starts before it is due",
+                run.key());
+        List<JobStep> steps = submission.steps();
         for (int earlier : run.step().after()) {
             for (int index = 0; index < steps.get(earlier).count(); index++) {
                 TaskKey needed = new TaskKey(task.job(), task.occurrence(), earlier, index);
@@ -497,13 +565,30 @@
     }
 
     void ended(RunKey run, ReportedEnd how) {
-        if (how == ReportedEnd.COMPLETED) {
+        if (how == ReportedEnd.COMPLETED && !step(run.task()).lasting()) {
             completions.computeIfAbsent(run.task(), key -> new ArrayList<>()).add(new Completion(run));
         }
         memberGone(run, how != ReportedEnd.COMPLETED);
     }
 
+    /** Records that a completion is acknowledged; that of one member of a gang represents all of them. */
     void completionAcknowledged(RunKey run) {
+        JobStep step = step(run.task());
+        if (step.lasting()) {
+            return;
+        }
+        if (!step.gang()) {
+            recordAcknowledgement(run);
+            return;
+        }
+        TaskKey task = run.task();
+        for (int index = 0; index < step.count(); index++) {
+            TaskKey member = new TaskKey(task.job(), task.occurrence(), task.step(), index);
+            recordAcknowledgement(new RunKey(member, run.attempt()));
+        }
+    }
+
+    private void recordAcknowledgement(RunKey run) {
         for (Completion completion : completions.get(run.task())) {
             if (completion.run.equals(run)) {
                 require(!completion.startedAfter, "%s completed before a later start, and is acknowledged", run);
@@ -537,11 +622,13 @@
             longest = Math.max(longest, run.remainingMillis());
         }
         int count = members.size();
-        at(longest, () -> {
+        JobStep step = step(members.keySet().iterator().next().task());
+        Optional<Long> workMillis = step.lasting() ? completesAfter(step) : Optional.of(longest);
+        workMillis.ifPresent(millis -> at(millis, () -> {
             if (members.size() == count) {
                 new LinkedHashMap<>(members).forEach((run, worker) -> worker.end(run, ReportedEnd.COMPLETED));
             }
-        });
+        }));
     }
 
     void memberGone(RunKey run) {
@@ -569,6 +656,7 @@
             findRoomWithoutRuns(found);
             findRunsWithoutRoom(found);
             findWaitingTasks(found);
+            requireLastingJobsGoOn();
             differences.keySet().retainAll(found.keySet());
             found.forEach((difference, boundMillis) -> {
                 long since = differences.computeIfAbsent(difference, key -> nowMillis);
@@ -650,24 +738,41 @@
         }
     }
 
+    private void requireLastingJobsGoOn() {
+        for (JobRecord job : table.all()) {
+            boolean lasts = job.submission().steps().stream().anyMatch(JobStep::lasting);
+            require(!lasts || job.state() != JobState.DONE, "%s is done, but has lasting tasks", job.id());
+        }
+    }
+
     private void findWaitingTasks(Map<String, Long> found) {
         Set<TaskKey> running = runningTasks();
         for (JobId id : table.active()) {
             JobRecord job = table.find(id).orElseThrow();
-            for (int position = 0; position < job.submission().steps().size(); position++) {
-                JobStep step = job.submission().steps().get(position);
-                if (job.ready(0, position) && !step.bestEffort() && hasCapacityFor(step)) {
-                    findWaitingTasks(job, position, running, found);
+            for (int occurrence = 0; occurrence < job.occurrences().size(); occurrence++) {
+                if (job.submission().schedule().dueEpochMillis(occurrence) <= nowMillis) {
+                    findWaitingTasks(job, occurrence, running, found);
                 }
             }
         }
     }
 
-    private void findWaitingTasks(JobRecord job, int position, Set<TaskKey> running, Map<String, Long> found) {
+    private void findWaitingTasks(JobRecord job, int occurrence, Set<TaskKey> running, Map<String, Long> found) {
+        for (int position = 0; position < job.submission().steps().size(); position++) {
+            JobStep step = job.submission().steps().get(position);
+            if (job.ready(occurrence, position) && !step.bestEffort() && hasCapacityFor(step)) {
+                findWaitingTasks(job, occurrence, position, running, found);
+            }
+        }
+    }
+
+    private void findWaitingTasks(
+            JobRecord job, int occurrence, int position, Set<TaskKey> running, Map<String, Long> found) {
         JobStep step = job.submission().steps().get(position);
         for (int index = 0; index < step.count(); index++) {
-            TaskKey task = new TaskKey(job.id(), 0, position, index);
-            if (!job.task(task).completed() && !running.contains(task)) {
+            TaskKey task = new TaskKey(job.id(), occurrence, position, index);
+            boolean completed = job.task(task).completed() && !step.lasting();
+            if (!completed && !running.contains(task)) {
                 long bound = step.lasting() ? MAX_LASTING_WAIT_MILLIS : MAX_WAIT_MILLIS;
                 found.put(task + " waits with capacity for it", bound);
             }
--- a/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/ModelWorker.java
+++ b/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/ModelWorker.java
@@ -259,7 +259,9 @@
         run.work();
         if (fleet.fails(run.step)) {
             at(1 + fleet.random().nextInt(1500), () -> end(run.key, ReportedEnd.FAILED));
-        } else if (!run.step.lasting()) {
+        } else if (run.step.lasting()) {
+            fleet.completesAfter(run.step).ifPresent(millis -> at(millis, () -> end(run.key, ReportedEnd.COMPLETED)));
+        } else {
             at(run.remainingMillis(), () -> end(run.key, ReportedEnd.COMPLETED));
         }
     }
