Count the failures of one task on several workers against the task

Cause: WorkerHealth kept evidence by job and worker. A job that succeeds anywhere, here by its sound task, made each failure evidence against the worker, so four visits of the failing task convicted one worker after the other.

Failures are kept by task now. Once a task has failed on a second worker since it last succeeded, its failures count against the task alone, whatever the other tasks of its job do; those counted before are taken back. Failures of several tasks on one worker count against the worker as before. The rule is that of both schedulers, for failed runs and for runs without progress.

--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/health/WorkerHealth.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/health/WorkerHealth.java
@@ -9,29 +9,32 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Tracks the health of workers by the jobs that fail or succeed on them.
+ * Tracks the health of workers by the tasks that fail or succeed on them.
  *
  * <p>A worker is unproven until a task has succeeded there since its last failure, and is given only a few tasks
  * meanwhile. A worker is quarantined once jobs fail there that do not fail elsewhere; after the quarantine the worker
- * is on probation and takes one task at a time. A failure of a job that fails on several workers and succeeds on none
- * counts against the job alone. Not thread-safe.
+ * is on probation and takes one task at a time. A failure counts against the job alone if the job fails on several
+ * workers and succeeds on none, and against the task alone if the task has failed on several workers since it last
+ * succeeded, whatever the other tasks of its job do. Not thread-safe.
  *
  * @param <J> the type that identifies a job
+ * @param <T> the type that identifies a task
  * @since 0.1
  */
-public final class WorkerHealth<J> {
+public final class WorkerHealth<J, T> {
     /** The maximum number of concurrent tasks on an unproven worker. */
     public static final int MAX_UNPROVEN_TASKS = 5;
 
     private static final int MIN_FAILURES_OF_SEVERAL_JOBS = 3;
     private static final int MIN_FAILURES_OF_ONE_JOB = 4;
-    private static final int MIN_WORKERS_FOR_FAULTY_JOB = 2;
+    private static final int MIN_WORKERS_FOR_FAULTY_WORK = 2;
     private static final long TRIAL_INTERVAL_NANOS = TimeUnit.MINUTES.toNanos(1);
     private static final long DEFAULT_QUARANTINE_NANOS = TimeUnit.MINUTES.toNanos(1);
     private static final int MAX_DOUBLINGS = 6;
 
-    private final Map<WorkerId, WorkerState<J>> workers = new HashMap<>();
+    private final Map<WorkerId, WorkerState<J, T>> workers = new HashMap<>();
     private final Map<J, JobOutcomes> jobs = new HashMap<>();
+    private final Map<T, TaskFailures<J>> tasks = new HashMap<>();
 
     private final long firstQuarantineNanos;
 
@@ -43,9 +46,10 @@
      * Returns a health record in which every worker is unproven.
      *
      * @param <J> the type that identifies a job
+     * @param <T> the type that identifies a task
      * @return the health record, never null
      */
-    public static <J> WorkerHealth<J> create() {
+    public static <J, T> WorkerHealth<J, T> create() {
         return new WorkerHealth<>(DEFAULT_QUARANTINE_NANOS);
     }
 
@@ -55,9 +59,10 @@
      * @param firstQuarantineNanos the duration of a worker's first quarantine, in nanoseconds; each consecutive
      *     quarantine lasts twice as long
      * @param <J> the type that identifies a job
+     * @param <T> the type that identifies a task
      * @return the health record, never null
      */
-    public static <J> WorkerHealth<J> create(long firstQuarantineNanos) {
+    public static <J, T> WorkerHealth<J, T> create(long firstQuarantineNanos) {
         return new WorkerHealth<>(firstQuarantineNanos);
     }
 
@@ -67,7 +72,7 @@
      * @param worker the worker
      */
     public void started(WorkerId worker) {
-        WorkerState<J> state = stateOf(worker);
+        WorkerState<J, T> state = stateOf(worker);
         if (!state.proven) {
             state.unprovenTasks++;
         }
@@ -79,7 +84,7 @@
      * @param worker the worker
      */
     public void endedInconclusively(WorkerId worker) {
-        WorkerState<J> state = stateOf(worker);
+        WorkerState<J, T> state = stateOf(worker);
         state.unprovenTasks = Math.max(0, state.unprovenTasks - 1);
     }
 
@@ -96,9 +101,10 @@
      *
      * @param worker the worker
      * @param job the task's job or service
+     * @param task the task
      */
-    public void succeeded(WorkerId worker, J job) {
-        WorkerState<J> state = stateOf(worker);
+    public void succeeded(WorkerId worker, J job, T task) {
+        WorkerState<J, T> state = stateOf(worker);
         state.proven = true;
         state.unprovenTasks = 0;
         state.failures.clear();
@@ -109,6 +115,7 @@
             record.failedOn.remove(worker);
         }
         jobs.computeIfAbsent(job, key -> new JobOutcomes()).succeededOn.add(worker);
+        tasks.remove(task);
     }
 
     /**
@@ -116,20 +123,22 @@
      *
      * @param worker the worker
      * @param job the task's job or service
+     * @param task the task
      * @param now the current time, in nanoseconds
      */
-    public void failed(WorkerId worker, J job, long now) {
+    public void failed(WorkerId worker, J job, T task, long now) {
         JobOutcomes record = jobs.computeIfAbsent(job, key -> new JobOutcomes());
         record.failedOn.add(worker);
         record.succeededOn.remove(worker);
-        WorkerState<J> state = stateOf(worker);
+        tasks.computeIfAbsent(task, key -> new TaskFailures<>(job)).failedOn.add(worker);
+        WorkerState<J, T> state = stateOf(worker);
         if (state.quarantined && now - state.quarantinedUntilNanos < 0) {
             // Assigned before the quarantine, so it is no failed trial.
             return;
         }
-        state.failures.merge(job, 1, Integer::sum);
+        state.failures.merge(task, new Failures<>(job, 1), Failures::plus);
         state.lastFailureNanos = now;
-        if (state.proven && !failsEverywhere(job)) {
+        if (state.proven && !failsEverywhere(job) && !failsOnSeveralWorkers(task)) {
             state.proven = false;
             state.unprovenTasks = 1;
         }
@@ -143,7 +152,7 @@
      * @param now the current time, in nanoseconds
      */
     public void review(WorkerId worker, long now) {
-        WorkerState<J> state = workers.get(worker);
+        WorkerState<J, T> state = workers.get(worker);
         if (state != null && !state.failures.isEmpty()) {
             evaluate(state, now);
         }
@@ -158,7 +167,7 @@
      * @return false while the worker is quarantined, or has the maximum number of tasks for an unproven worker
      */
     public boolean accepts(WorkerId worker, J job, long now) {
-        WorkerState<J> state = workers.get(worker);
+        WorkerState<J, T> state = workers.get(worker);
         if (state == null || state.proven) {
             return true;
         }
@@ -168,7 +177,8 @@
         if (state.unprovenTasks < MAX_UNPROVEN_TASKS - 1) {
             return true;
         }
-        boolean otherJob = state.unprovenTasks < MAX_UNPROVEN_TASKS && !state.failures.containsKey(job);
+        boolean otherJob =
+                state.unprovenTasks < MAX_UNPROVEN_TASKS && !state.failedJobs().contains(job);
         boolean trialDue = !state.failures.isEmpty() && now - state.lastFailureNanos >= TRIAL_INTERVAL_NANOS;
         return otherJob || trialDue;
     }
@@ -180,7 +190,7 @@
      * @return true while no task has succeeded there since the last failure
      */
     public boolean restricted(WorkerId worker) {
-        WorkerState<J> state = workers.get(worker);
+        WorkerState<J, T> state = workers.get(worker);
         return state != null && !state.proven;
     }
 
@@ -191,7 +201,7 @@
      * @return true until a task succeeds there again
      */
     public boolean quarantined(WorkerId worker) {
-        WorkerState<J> state = workers.get(worker);
+        WorkerState<J, T> state = workers.get(worker);
         return state != null && state.quarantined;
     }
 
@@ -214,7 +224,19 @@
      */
     public boolean failsEverywhere(J job) {
         JobOutcomes record = jobs.get(job);
-        return record != null && record.failedOn.size() >= MIN_WORKERS_FOR_FAULTY_JOB && record.succeededOn.isEmpty();
+        return record != null && record.failedOn.size() >= MIN_WORKERS_FOR_FAULTY_WORK && record.succeededOn.isEmpty();
+    }
+
+    /**
+     * Returns whether a task has failed on several workers since it last succeeded.
+     *
+     * @param task the task
+     * @return true if the task's failures do not count against workers
+     * @since 0.3
+     */
+    public boolean failsOnSeveralWorkers(T task) {
+        TaskFailures<J> record = tasks.get(task);
+        return record != null && record.failedOn.size() >= MIN_WORKERS_FOR_FAULTY_WORK;
     }
 
     /**
@@ -224,18 +246,20 @@
      */
     public void forget(J job) {
         jobs.remove(job);
+        tasks.values().removeIf(record -> record.job.equals(job));
     }
 
-    private void evaluate(WorkerState<J> state, long now) {
-        dropFailuresOfFaultyJobs(state);
+    private void evaluate(WorkerState<J, T> state, long now) {
+        dropFailuresOfFaultyWork(state);
         int failures = 0;
         boolean succeedsElsewhere = false;
-        for (Map.Entry<J, Integer> entry : state.failures.entrySet()) {
-            failures += entry.getValue();
-            JobOutcomes record = jobs.get(entry.getKey());
+        for (Failures<J> task : state.failures.values()) {
+            failures += task.count;
+            JobOutcomes record = jobs.get(task.job);
             succeedsElsewhere |= record != null && !record.succeededOn.isEmpty();
         }
-        boolean severalJobs = state.failures.size() > 1 && failures >= MIN_FAILURES_OF_SEVERAL_JOBS;
+        boolean severalJobs =
+                failures >= MIN_FAILURES_OF_SEVERAL_JOBS && state.failedJobs().size() > 1;
         boolean singleJob = succeedsElsewhere && failures >= MIN_FAILURES_OF_ONE_JOB;
         boolean onProbation = state.quarantined && failures > 0 && now - state.quarantinedUntilNanos >= 0;
         if (severalJobs || singleJob || onProbation) {
@@ -247,33 +271,56 @@
         }
     }
 
-    private void dropFailuresOfFaultyJobs(WorkerState<J> state) {
+    private void dropFailuresOfFaultyWork(WorkerState<J, T> state) {
         state.failures.entrySet().removeIf(entry -> {
-            boolean faulty = failsEverywhere(entry.getKey());
+            boolean faulty = failsEverywhere(entry.getValue().job) || failsOnSeveralWorkers(entry.getKey());
             if (faulty) {
-                state.unprovenTasks = Math.max(0, state.unprovenTasks - entry.getValue());
+                state.unprovenTasks = Math.max(0, state.unprovenTasks - entry.getValue().count);
             }
             return faulty;
         });
     }
 
-    private WorkerState<J> stateOf(WorkerId worker) {
+    private WorkerState<J, T> stateOf(WorkerId worker) {
         return workers.computeIfAbsent(worker, key -> new WorkerState<>());
     }
 
     /** Holds the failures of a worker since a task last succeeded there, and its quarantine. */
-    private static final class WorkerState<J> {
-        private final Map<J, Integer> failures = new HashMap<>();
+    private static final class WorkerState<J, T> {
+        private final Map<T, Failures<J>> failures = new HashMap<>();
         private boolean proven;
         private int unprovenTasks;
         private long lastFailureNanos;
         private int quarantines;
         private boolean quarantined;
         private long quarantinedUntilNanos;
+
+        private Set<J> failedJobs() {
+            Set<J> failed = new HashSet<>();
+            failures.values().forEach(task -> failed.add(task.job));
+            return failed;
+        }
+    }
+
+    /** Counts the failures of a task on a worker. */
+    private record Failures<J>(J job, int count) {
+        Failures<J> plus(Failures<J> other) {
+            return new Failures<>(job, count + other.count);
+        }
     }
 
     private static final class JobOutcomes {
         private final Set<WorkerId> failedOn = new HashSet<>();
         private final Set<WorkerId> succeededOn = new HashSet<>();
     }
+
+    /** Holds the workers on which a task has failed since it last succeeded. */
+    private static final class TaskFailures<J> {
+        private final J job;
+        private final Set<WorkerId> failedOn = new HashSet<>();
+
+        TaskFailures(J job) {
+            this.job = job;
+        }
+    }
 }
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/ReportHandler.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/ReportHandler.java
@@ -96,7 +96,7 @@
             if (observed.getValue().percent() >= 100 && state.health().restricted(worker)) {
                 state.step(task)
                         .filter(JobStep::lasting)
-                        .ifPresent(step -> state.health().succeeded(worker, task.job()));
+                        .ifPresent(step -> state.health().succeeded(worker, task.job(), task));
             }
         }
     }
@@ -141,7 +141,7 @@
             return Optional.of("worker-leaving");
         }
         if (StallDetector.stalled(step, observed, now)) {
-            state.health().failed(entry.id(), run.task().job(), now);
+            state.health().failed(entry.id(), run.task().job(), run.task(), now);
             state.avoid(run.task(), entry.id());
             return Optional.of("no-progress");
         }
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/SchedulerState.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/SchedulerState.java
@@ -23,7 +23,7 @@
     private final SchedulerTimes times;
     private final Predicate<ServiceName> declared;
     private final SchedulerListener events;
-    private final WorkerHealth<JobId> health = WorkerHealth.create(QUARANTINE_NANOS);
+    private final WorkerHealth<JobId, TaskKey> health = WorkerHealth.create(QUARANTINE_NANOS);
     private final InterferenceControl interference = new InterferenceControl();
     private final Map<TaskKey, Set<WorkerId>> avoidedWorkers = new HashMap<>();
     private final WaitLog waits;
@@ -65,7 +65,7 @@
         return waits;
     }
 
-    WorkerHealth<JobId> health() {
+    WorkerHealth<JobId, TaskKey> health() {
         return health;
     }
 
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TaskPlacer.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TaskPlacer.java
@@ -39,13 +39,17 @@
     /** The share of free capacity from which no job may be left without a running task: one half less a margin. */
     private static final double MOSTLY_FREE_SHARE = 0.45;
 
-    private final WorkerHealth<JobId> health;
+    private final WorkerHealth<JobId, TaskKey> health;
     private final SlowWorkerDetector slowWorkers;
     private final InterferenceControl interference;
     private final long now;
     private final Map<ServiceName, List<WorkerCapacity>> candidates = new HashMap<>();
 
-    TaskPlacer(WorkerHealth<JobId> health, SlowWorkerDetector slowWorkers, InterferenceControl interference, long now) {
+    TaskPlacer(
+            WorkerHealth<JobId, TaskKey> health,
+            SlowWorkerDetector slowWorkers,
+            InterferenceControl interference,
+            long now) {
         this.health = health;
         this.slowWorkers = slowWorkers;
         this.interference = interference;
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TransitionPlanner.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TransitionPlanner.java
@@ -97,12 +97,12 @@
     private void recordEnd(WorkerEntry entry, WorkerReport.EndedRun end, long now) {
         state.events().ended(end, entry.incarnation());
         state.recordEnd(end.run());
-        JobId job = end.run().task().job();
+        TaskKey task = end.run().task();
         switch (end.end()) {
-            case COMPLETED -> state.health().succeeded(entry.id(), job);
+            case COMPLETED -> state.health().succeeded(entry.id(), task.job(), task);
             case FAILED -> {
-                state.health().failed(entry.id(), job, now);
-                state.avoid(end.run().task(), entry.id());
+                state.health().failed(entry.id(), task.job(), task, now);
+                state.avoid(task, entry.id());
             }
             case REFUSED -> {
                 state.health().endedInconclusively(entry.id());
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/task/DataCentreScheduler.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/task/DataCentreScheduler.java
@@ -39,7 +39,7 @@
     private final WaitingQueue queue = new WaitingQueue();
     private final Outbox outbox = new Outbox();
     private final Map<WorkerId, WorkerEntry> workers = new HashMap<>();
-    private final WorkerHealth<ManifestKey> health = WorkerHealth.create();
+    private final WorkerHealth<ManifestKey, TaskId> health = WorkerHealth.create();
     private final QuotaLedger quotas = QuotaLedger.create();
     private final PlacementRound placementRound;
     private final PollHandler pollHandler;
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/task/PlacementRound.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/task/PlacementRound.java
@@ -29,7 +29,7 @@
     private final Outbox outbox;
     private final Commitments commitments;
     private final PlacementIndex index;
-    private final WorkerHealth<ManifestKey> health;
+    private final WorkerHealth<ManifestKey, TaskId> health;
     private final QuotaLedger quotas;
     private final Map<WorkerId, WorkerEntry> workers;
     private final Preemption preemption;
@@ -42,7 +42,7 @@
             Outbox outbox,
             Commitments commitments,
             PlacementIndex index,
-            WorkerHealth<ManifestKey> health,
+            WorkerHealth<ManifestKey, TaskId> health,
             QuotaLedger quotas,
             Map<WorkerId, WorkerEntry> workers) {
         this.table = table;
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/task/PollHandler.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/task/PollHandler.java
@@ -21,7 +21,7 @@
     private final Outbox outbox;
     private final Commitments commitments;
     private final LeaseDurations times;
-    private final WorkerHealth<ManifestKey> health;
+    private final WorkerHealth<ManifestKey, TaskId> health;
     private final PressureRelief pressureRelief;
 
     PollHandler(
@@ -29,7 +29,7 @@
             Outbox outbox,
             Commitments commitments,
             LeaseDurations times,
-            WorkerHealth<ManifestKey> health,
+            WorkerHealth<ManifestKey, TaskId> health,
             PressureRelief pressureRelief) {
         this.pressureRelief = pressureRelief;
         this.health = health;
@@ -113,7 +113,7 @@
             return;
         }
         if (health.restricted(worker) && entry.observedRunNanos(task.id(), now) >= HEALTHY_RUN_NANOS) {
-            health.succeeded(worker, task.owner());
+            health.succeeded(worker, task.owner(), task.id());
         }
         pressureRelief.onReport(worker, reported, now, commands);
         handleRunningAttempt(task, reported, commands);
@@ -121,8 +121,8 @@
 
     private void recordHealth(WorkerId worker, TaskRecord task, PollReport.Phase phase, long now) {
         switch (phase) {
-            case COMPLETED -> health.succeeded(worker, task.owner());
-            case FAILED -> health.failed(worker, task.owner(), now);
+            case COMPLETED -> health.succeeded(worker, task.owner(), task.id());
+            case FAILED -> health.failed(worker, task.owner(), task.id(), now);
             default -> health.endedInconclusively(worker);
         }
     }
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/task/Preemption.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/task/Preemption.java
@@ -35,7 +35,7 @@
     private final Commitments commitments;
     private final PlacementIndex index;
     private final QuotaLedger quotas;
-    private final WorkerHealth<ManifestKey> health;
+    private final WorkerHealth<ManifestKey, TaskId> health;
     private final Map<WorkerId, WorkerEntry> workers;
     private final Map<ManifestKey, Deque<Long>> preemptionTimes = new HashMap<>();
 
@@ -45,7 +45,7 @@
             Commitments commitments,
             PlacementIndex index,
             QuotaLedger quotas,
-            WorkerHealth<ManifestKey> health,
+            WorkerHealth<ManifestKey, TaskId> health,
             Map<WorkerId, WorkerEntry> workers) {
         this.table = table;
         this.outbox = outbox;
--- a/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobSchedulerTests.java
+++ b/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobSchedulerTests.java
@@ -684,6 +684,43 @@
         }
     }
 
+    /** Guards against idle workers that are quarantined for one lasting task that fails wherever it runs. */
+    @Nested
+    class OneLastingTaskThatKeepsFailing {
+        private static final WorkerIncarnation W333 = JobFixtures.incarnation("w333", 1);
+
+        @Test
+        void leavesItsWorkersToOtherJobs() {
+            accept("s1", JobFixtures.step(2, List.of(), true, false, 0, 3000));
+            report(W1);
+            report(W22);
+            report(W333);
+            commit(plan());
+            report(workerOf(0), running("s1", 0, 1, 100));
+            for (int attempt = 1; attempt <= 20; attempt++) {
+                EndedRun end = ended(attempt, "s1", 1, attempt, ReportedEnd.FAILED);
+                WorkerIncarnation worker = workerOf(1);
+                report(worker, end);
+                commit(plan());
+                now += TimeUnit.MILLISECONDS.toNanos(200);
+                report(W1);
+                report(W22);
+                report(W333);
+                commit(plan());
+            }
+            accept("j1", JobFixtures.step(1, List.of(), false, false, 0, 4000));
+            commit(plan());
+            assertThat(state("j1")).isEqualTo(JobState.RUNNING);
+        }
+
+        private WorkerIncarnation workerOf(int task) {
+            TaskKey key = JobFixtures.run("s1", 0, task, 1).task();
+            JobRecord job = table.find(JobId.of("s1")).orElseThrow();
+            assertThat(job.task(key).liveRuns()).hasSize(1);
+            return job.task(key).liveRuns().get(0).worker();
+        }
+    }
+
     @Nested
     class RestartingLastingTasks {
         @Test
