Space the starts of lasting tasks whose runs are short

The first two short runs are followed by a start at once, since a worker may have been at fault. From then on two starts are 0.5 s apart, 1, 2 and at most 4 s, below the 6 s after which a lasting task without a run counts as lost. The time counts from the start, so a task whose runs last longer than that starts again at once. A task takes and reserves no capacity meanwhile.

The new event task-restart-paused names the task, and "waxwinghead explain job" tells how many restarts were delayed.

Tests: JobSchedulerTests.LastingTasksWhoseRunsAreShort, ExplainJobTests.

--- a/waxwinghead-cli/src/main/java/dev/waxwinghead/cli/explain/JobFindings.java
+++ b/waxwinghead-cli/src/main/java/dev/waxwinghead/cli/explain/JobFindings.java
@@ -22,6 +22,7 @@
         findings.addLongestIdleTime();
         findings.addStopsAndEnds();
         findings.addCrashes();
+        findings.addPausedRestarts();
         findings.addOutcome();
         return findings.findings;
     }
@@ -86,6 +87,12 @@
                         findings.add("Worker " + line.text("worker") + " was lost: " + line.text("reason") + "."));
     }
 
+    private void addPausedRestarts() {
+        countByField("task-restart-paused", "task")
+                .forEach((task, count) -> findings.add("The runs of task " + task + " ended soon after their start; "
+                        + count + " restarts were delayed."));
+    }
+
     private void addCrashes() {
         for (LogLine line : lines) {
             if (line.event().equals("worker-crashed")) {
--- a/waxwinghead-cli/src/test/java/dev/waxwinghead/cli/ExplainJobTests.java
+++ b/waxwinghead-cli/src/test/java/dev/waxwinghead/cli/ExplainJobTests.java
@@ -87,6 +87,15 @@
         assertThat(output()).contains("The job was given up: 3 workers crashed under task j1.0.0.0.");
     }
 
+    @Test
+    void namesTasksWhoseRunsEndSoonAfterTheirStart() {
+        String paused = "{\"at\":9600,\"event\":\"task-restart-paused\",\"job\":\"j1\",\"task\":\"j1.0.0.0\","
+                + "\"shortRuns\":3,\"millis\":400}\n";
+        run(ACCEPTED + STARTED + FAILED + paused, "explain", "job", "j1");
+        assertThat(output())
+                .contains("The runs of task j1.0.0.0 ended soon after their start; 1 restarts were delayed.");
+    }
+
     @Test
     void showsLinesOfAllHostsInOrder(@TempDir Path folder) throws IOException {
         Path first = Files.writeString(folder.resolve("a.log"), FAILED + "# a crash report\n");
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/EngineEvents.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/EngineEvents.java
@@ -31,6 +31,7 @@
     private final Counter unlistedRuns;
     private final Counter crashes;
     private final Counter givenUp;
+    private final Counter pauses;
 
     EngineEvents(MeterRegistry meters) {
         this.meters = meters;
@@ -41,6 +42,7 @@
         this.unlistedRuns = meters.counter("waxwinghead.job.runs.unlisted");
         this.crashes = meters.counter("waxwinghead.job.worker.crashes");
         this.givenUp = meters.counter("waxwinghead.job.given.up");
+        this.pauses = meters.counter("waxwinghead.job.task.restarts.paused");
     }
 
     @Override
@@ -185,6 +187,17 @@
                 .write();
     }
 
+    @Override
+    public void restartPaused(TaskKey task, int shortRuns, long millis) {
+        pauses.increment();
+        Event.of("task-restart-paused")
+                .with("job", task.job())
+                .with("task", task)
+                .with("shortRuns", shortRuns)
+                .with("millis", millis)
+                .write();
+    }
+
     @Override
     public void waiting(JobRecord job, int step, WaitReason reason) {
         String name = reason.name().toLowerCase(Locale.ROOT);
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/SchedulerListener.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/SchedulerListener.java
@@ -108,6 +108,16 @@
      */
     void givenUp(TaskKey task, int crashes);
 
+    /**
+     * Called when a lasting task is not started again at once, since its runs end soon after each start.
+     *
+     * @param task the task
+     * @param shortRuns the number of short runs in succession
+     * @param millis how long the task has to wait, in milliseconds
+     * @since 0.3
+     */
+    void restartPaused(TaskKey task, int shortRuns, long millis);
+
     /**
      * Called when a job waits for another reason than before, at most once a second for each job.
      *
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/SchedulerState.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/SchedulerState.java
@@ -28,6 +28,7 @@
     private final Map<TaskKey, Set<WorkerId>> avoidedWorkers = new HashMap<>();
     private final WaitLog waits;
     private final SlowWorkerDetector slowWorkers;
+    private final RestartPauses restartPauses;
     private final Set<RunKey> inheritedRuns = new HashSet<>();
     private final Map<RunKey, WorkerIncarnation> startsWithoutEnd = new HashMap<>();
     /** The runs that end with the latest plan, which may not be committed yet. */
@@ -43,6 +44,7 @@
         this.events = events;
         this.waits = new WaitLog(events);
         this.slowWorkers = new SlowWorkerDetector(events);
+        this.restartPauses = new RestartPauses(events);
     }
 
     JobTable table() {
@@ -61,6 +63,10 @@
         return slowWorkers;
     }
 
+    RestartPauses restartPauses() {
+        return restartPauses;
+    }
+
     WaitLog waits() {
         return waits;
     }
@@ -199,6 +205,7 @@
         interference.forget(job);
         waits.forget(job);
         slowWorkers.forget(job);
+        restartPauses.forget(job);
         avoidedWorkers.keySet().removeIf(task -> task.job().equals(job));
     }
 }
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/StartPlan.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/StartPlan.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.IntStream;
 
 /** Plans the starts of one scheduling round, job by job. */
 final class StartPlan {
@@ -70,6 +71,9 @@
                 continue;
             }
             TaskKey key = new TaskKey(job.id(), occurrence, position, index);
+            if (state.restartPauses().paused(key, now)) {
+                continue;
+            }
             RunKey run = new RunKey(key, task.attempts() + 1);
             Optional<WorkerEntry> worker = place(workers, key, task);
             if (worker.isPresent()) {
@@ -128,6 +132,9 @@
         if (step.tasks().stream().allMatch(step::finished) || step.liveRuns() > 0) {
             return;
         }
+        if (anyMemberPaused(job, occurrence, position, step)) {
+            return;
+        }
         int attempt =
                 1 + step.tasks().stream().mapToInt(TaskRecord::attempts).max().orElse(0);
         RankedWorkers ranked = rank(job, step, perWorker);
@@ -149,6 +156,12 @@
         }
     }
 
+    private boolean anyMemberPaused(JobRecord job, int occurrence, int position, StepRecord step) {
+        return IntStream.range(0, step.tasks().size())
+                .mapToObj(index -> new TaskKey(job.id(), occurrence, position, index))
+                .anyMatch(key -> state.restartPauses().paused(key, now));
+    }
+
     private RankedWorkers rank(JobRecord job, StepRecord step, Map<WorkerId, Integer> perWorker) {
         return placer.rank(job.terms().service(), job.id(), step.step(), perWorker);
     }
@@ -156,6 +169,9 @@
     private void start(RunKey run, WorkerEntry worker) {
         transitions.add(new JobTransition.Started(run, worker.incarnation()));
         state.recordStart(run, worker.incarnation());
+        if (state.step(run.task()).filter(JobStep::lasting).isPresent()) {
+            state.restartPauses().started(run.task(), now);
+        }
         state.events().starting(run, worker.incarnation(), state.table().epoch());
     }
 
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TransitionPlanner.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TransitionPlanner.java
@@ -98,6 +98,7 @@
         state.events().ended(end, entry.incarnation());
         state.recordEnd(end.run());
         TaskKey task = end.run().task();
+        recordRestart(end, now);
         switch (end.end()) {
             case COMPLETED -> state.health().succeeded(entry.id(), task.job(), task);
             case FAILED -> {
@@ -112,6 +113,15 @@
         }
     }
 
+    /** Counts the end of a lasting run that the task itself has ended. */
+    private void recordRestart(WorkerReport.EndedRun end, long now) {
+        RunEnd runEnd = end.end().runEnd();
+        boolean ownEnd = runEnd == RunEnd.FAILED || runEnd == RunEnd.COMPLETED;
+        if (ownEnd && state.step(end.run().task()).filter(JobStep::lasting).isPresent()) {
+            state.restartPauses().ended(end.run().task(), now);
+        }
+    }
+
     private void planLosses(List<JobTransition> plan, long now) {
         givenUp.clear();
         for (WorkerIncarnation incarnation : List.copyOf(state.table().busyWorkers())) {
--- a/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobSchedulerTests.java
+++ b/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobSchedulerTests.java
@@ -20,6 +20,8 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 
 class JobSchedulerTests {
     private static final SchedulerTimes TIMES = new SchedulerTimes(
@@ -591,6 +593,7 @@
             accept("s1", LASTING);
             startAll(W1);
             for (int attempt = 1; attempt <= 10; attempt++) {
+                now += TimeUnit.SECONDS.toNanos(4);
                 report(W1, ended(attempt, "s1", 0, attempt, ReportedEnd.COMPLETED));
                 commit(plan());
                 commit(plan());
@@ -702,7 +705,7 @@
                 WorkerIncarnation worker = workerOf(1);
                 report(worker, end);
                 commit(plan());
-                now += TimeUnit.MILLISECONDS.toNanos(200);
+                now += TimeUnit.SECONDS.toNanos(4);
                 report(W1);
                 report(W22);
                 report(W333);
@@ -721,6 +724,106 @@
         }
     }
 
+    /** Guards against a lasting task that is started several times a second, as its runs end soon after each start. */
+    @Nested
+    class LastingTasksWhoseRunsAreShort {
+        private int attempt = 1;
+
+        @BeforeEach
+        void start() {
+            accept("s1", JobFixtures.step(1, List.of(), true, false, 0, 4000));
+            startOnBothWorkers();
+        }
+
+        @ParameterizedTest
+        @EnumSource(
+                value = ReportedEnd.class,
+                names = {"FAILED", "COMPLETED"})
+        void startAtOnceTwiceAndThenAtGrowingIntervalsUpToFourSeconds(ReportedEnd how) {
+            assertThat(List.of(pauseMillis(how), pauseMillis(how))).containsExactly(0, 0);
+            assertThat(List.of(
+                            pauseMillis(how), pauseMillis(how), pauseMillis(how), pauseMillis(how), pauseMillis(how)))
+                    .containsExactly(400, 900, 1900, 3900, 3900)
+                    .inOrder();
+        }
+
+        @Test
+        void startAtOnceAfterALongRun() {
+            for (int run = 0; run < 5; run++) {
+                pauseMillis(ReportedEnd.FAILED);
+            }
+            now += TimeUnit.SECONDS.toNanos(4);
+            assertThat(pauseMillis(ReportedEnd.FAILED)).isEqualTo(0);
+            assertThat(pauseMillis(ReportedEnd.FAILED)).isEqualTo(0);
+        }
+
+        @Test
+        void takeNoCapacityDuringAPause() {
+            for (int run = 0; run < 5; run++) {
+                pauseMillis(ReportedEnd.FAILED);
+            }
+            endRun(ReportedEnd.FAILED);
+            accept("j1", JobFixtures.step(2, List.of(), false, false, 0, 4000));
+            commit(plan());
+            assertThat(job("j1").liveRuns()).isEqualTo(2);
+        }
+
+        @Test
+        void startAtOnceAfterAnInterruption() {
+            for (int run = 0; run < 5; run++) {
+                assertThat(pauseMillis(ReportedEnd.STOPPED)).isEqualTo(0);
+            }
+        }
+
+        @Test
+        void startAgainAsAGangAfterAPause() {
+            table.apply(++index, new JobCommand.Cancel(JobId.of("s1")));
+            endRun(ReportedEnd.STOPPED);
+            accept("g1", JobFixtures.lastingGang(2, 3000));
+            startOnBothWorkers();
+            for (int run = 1; run <= 3; run++) {
+                for (WorkerIncarnation worker : List.of(W1, W22)) {
+                    RunKey member = table.runsOn(worker).iterator().next();
+                    report(worker, new EndedRun(100 + run, member, ReportedEnd.COMPLETED, ""));
+                }
+                commit(plan());
+                commit(plan());
+            }
+            assertThat(job("g1").liveRuns()).isEqualTo(0);
+            now += TimeUnit.MILLISECONDS.toNanos(500);
+            startOnBothWorkers();
+            assertThat(job("g1").liveRuns()).isEqualTo(2);
+        }
+
+        private void startOnBothWorkers() {
+            report(W1);
+            report(W22);
+            commit(plan());
+        }
+
+        /** Ends the run 100 ms after its start, and returns how long the next start takes, in steps of 100 ms. */
+        private int pauseMillis(ReportedEnd how) {
+            endRun(how);
+            int millis = 0;
+            while (job("s1").liveRuns() == 0 && millis < 10_000) {
+                now += TimeUnit.MILLISECONDS.toNanos(100);
+                millis += 100;
+                startOnBothWorkers();
+            }
+            return millis;
+        }
+
+        private void endRun(ReportedEnd how) {
+            now += TimeUnit.MILLISECONDS.toNanos(100);
+            RunKey run = JobFixtures.run("s1", 0, 0, attempt);
+            WorkerIncarnation worker = table.isLive(W1, run) ? W1 : W22;
+            report(worker, new EndedRun(attempt, run, how, ""));
+            attempt++;
+            commit(plan());
+            commit(plan());
+        }
+    }
+
     @Nested
     class RestartingLastingTasks {
         @Test
@@ -1120,7 +1223,11 @@
     }
 
     private JobState state(String job) {
-        return table.find(JobId.of(job)).orElseThrow().state();
+        return job(job).state();
+    }
+
+    private JobRecord job(String id) {
+        return table.find(JobId.of(id)).orElseThrow();
     }
 
     private JobScheduler newScheduler() {
@@ -1233,6 +1340,9 @@
             givenUp.add(task);
         }
 
+        @Override
+        public void restartPaused(TaskKey task, int shortRuns, long millis) {}
+
         @Override
         public void waiting(JobRecord job, int step, WaitReason reason) {
             waits.add(job.id() + " " + reason);
--- a/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/SilentListener.java
+++ b/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/SilentListener.java
@@ -40,6 +40,9 @@
     @Override
     public void givenUp(TaskKey task, int crashes) {}
 
+    @Override
+    public void restartPaused(TaskKey task, int shortRuns, long millis) {}
+
     @Override
     public void waiting(JobRecord job, int step, WaitReason reason) {}
 
