Bound the share of quarantined workers and the time of a quarantine

At most 34 % of a service's workers are quarantined at a time, as for slow workers; one always may be. A quarantine lasts at most four times as long as the first: 24 s for jobs, 4 min for tasks of waxwinghead's own interface, which have no bound on the share. Each decision is logged with the failures, tasks and jobs that count against the worker, and a gauge has the number of quarantined workers.

Tests: WorkerHealthTests (new for the new parameter), JobSchedulerTests.WorkersOnWhichEverythingFails.

--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/EngineEvents.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/EngineEvents.java
@@ -2,6 +2,7 @@
 
 import dev.waxwinghead.daemon.log.Event;
 import dev.waxwinghead.model.id.WorkerId;
+import dev.waxwinghead.scheduling.health.QuarantineControl;
 import dev.waxwinghead.scheduling.job.JobRecord;
 import dev.waxwinghead.scheduling.job.RunKey;
 import dev.waxwinghead.scheduling.job.SchedulerListener;
@@ -187,6 +188,20 @@
                 .write();
     }
 
+    @Override
+    public void quarantineDecided(WorkerId worker, QuarantineControl.Evidence evidence, long millis) {
+        boolean permitted = millis > 0;
+        meters.counter("waxwinghead.job.worker.quarantines", "permitted", Boolean.toString(permitted))
+                .increment();
+        Event.of(permitted ? "worker-quarantined" : "worker-quarantine-refused")
+                .with("worker", worker)
+                .with("failures", evidence.failures())
+                .with("tasks", evidence.tasks())
+                .with("jobs", evidence.jobs())
+                .with("millis", millis)
+                .write();
+    }
+
     @Override
     public void restartPaused(TaskKey task, int shortRuns, long millis) {
         pauses.increment();
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobEngine.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobEngine.java
@@ -231,6 +231,13 @@
         }
     }
 
+    /** Returns the number of quarantined workers, 0 if this host does not act. */
+    int quarantinedWorkers() {
+        synchronized (table) {
+            return acting() ? scheduler.quarantinedWorkers() : 0;
+        }
+    }
+
     /** Records that a worker exits. Returns false if this host does not act. */
     boolean workerExited(WorkerId worker, OptionalLong startedEpochMillis) {
         synchronized (table) {
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobHost.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobHost.java
@@ -122,6 +122,7 @@
                 new EngineEvents(meters),
                 ticker,
                 System::currentTimeMillis));
+        meters.gauge("waxwinghead.job.workers.quarantined", engine, JobEngine::quarantinedWorkers);
         jobs.onChange(engine::wake);
         JobService service = new JobService(
                 sharedState,
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/health/WorkerHealth.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/health/WorkerHealth.java
@@ -30,16 +30,19 @@
     private static final int MIN_WORKERS_FOR_FAULTY_WORK = 2;
     private static final long TRIAL_INTERVAL_NANOS = TimeUnit.MINUTES.toNanos(1);
     private static final long DEFAULT_QUARANTINE_NANOS = TimeUnit.MINUTES.toNanos(1);
-    private static final int MAX_DOUBLINGS = 6;
+    /** A quarantine lasts at most four times as long as the first one. */
+    private static final int MAX_DOUBLINGS = 2;
 
     private final Map<WorkerId, WorkerState<J, T>> workers = new HashMap<>();
     private final Map<J, JobOutcomes> jobs = new HashMap<>();
     private final Map<T, TaskFailures<J>> tasks = new HashMap<>();
 
     private final long firstQuarantineNanos;
+    private final QuarantineControl control;
 
-    private WorkerHealth(long firstQuarantineNanos) {
+    private WorkerHealth(long firstQuarantineNanos, QuarantineControl control) {
         this.firstQuarantineNanos = firstQuarantineNanos;
+        this.control = control;
     }
 
     /**
@@ -50,20 +53,21 @@
      * @return the health record, never null
      */
     public static <J, T> WorkerHealth<J, T> create() {
-        return new WorkerHealth<>(DEFAULT_QUARANTINE_NANOS);
+        return new WorkerHealth<>(DEFAULT_QUARANTINE_NANOS, QuarantineControl.UNBOUNDED);
     }
 
     /**
      * Returns a health record in which every worker is unproven, with the given duration of the first quarantine.
      *
      * @param firstQuarantineNanos the duration of a worker's first quarantine, in nanoseconds; each consecutive
-     *     quarantine lasts twice as long
+     *     quarantine lasts twice as long, up to four times as long as the first
+     * @param control bounds the number of quarantined workers
      * @param <J> the type that identifies a job
      * @param <T> the type that identifies a task
      * @return the health record, never null
      */
-    public static <J, T> WorkerHealth<J, T> create(long firstQuarantineNanos) {
-        return new WorkerHealth<>(firstQuarantineNanos);
+    public static <J, T> WorkerHealth<J, T> create(long firstQuarantineNanos, QuarantineControl control) {
+        return new WorkerHealth<>(firstQuarantineNanos, control);
     }
 
     /**
@@ -142,7 +146,7 @@
             state.proven = false;
             state.unprovenTasks = 1;
         }
-        evaluate(state, now);
+        evaluate(worker, state, now);
     }
 
     /**
@@ -154,7 +158,7 @@
     public void review(WorkerId worker, long now) {
         WorkerState<J, T> state = workers.get(worker);
         if (state != null && !state.failures.isEmpty()) {
-            evaluate(state, now);
+            evaluate(worker, state, now);
         }
     }
 
@@ -249,7 +253,7 @@
         tasks.values().removeIf(record -> record.job.equals(job));
     }
 
-    private void evaluate(WorkerState<J, T> state, long now) {
+    private void evaluate(WorkerId worker, WorkerState<J, T> state, long now) {
         dropFailuresOfFaultyWork(state);
         int failures = 0;
         boolean succeedsElsewhere = false;
@@ -263,14 +267,28 @@
         boolean singleJob = succeedsElsewhere && failures >= MIN_FAILURES_OF_ONE_JOB;
         boolean onProbation = state.quarantined && failures > 0 && now - state.quarantinedUntilNanos >= 0;
         if (severalJobs || singleJob || onProbation) {
-            int doublings = Math.min(state.quarantines++, MAX_DOUBLINGS);
-            state.quarantined = true;
-            state.quarantinedUntilNanos = now + (firstQuarantineNanos << doublings);
-            state.failures.clear();
-            state.unprovenTasks = 0;
+            quarantine(worker, state, failures, now);
         }
     }
 
+    private void quarantine(WorkerId worker, WorkerState<J, T> state, int failures, long now) {
+        QuarantineControl.Evidence evidence = new QuarantineControl.Evidence(
+                failures, state.failures.size(), state.failedJobs().size());
+        if (!state.quarantined && !control.permits(worker)) {
+            if (!evidence.equals(state.refusedEvidence)) {
+                state.refusedEvidence = evidence;
+                control.decided(worker, evidence, 0);
+            }
+            return;
+        }
+        long nanos = firstQuarantineNanos << Math.min(state.quarantines++, MAX_DOUBLINGS);
+        state.quarantined = true;
+        state.quarantinedUntilNanos = now + nanos;
+        state.failures.clear();
+        state.unprovenTasks = 0;
+        control.decided(worker, evidence, TimeUnit.NANOSECONDS.toMillis(nanos));
+    }
+
     private void dropFailuresOfFaultyWork(WorkerState<J, T> state) {
         state.failures.entrySet().removeIf(entry -> {
             boolean faulty = failsEverywhere(entry.getValue().job) || failsOnSeveralWorkers(entry.getKey());
@@ -294,6 +312,7 @@
         private int quarantines;
         private boolean quarantined;
         private long quarantinedUntilNanos;
+        private QuarantineControl.Evidence refusedEvidence;
 
         private Set<J> failedJobs() {
             Set<J> failed = new HashSet<>();
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/JobScheduler.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/JobScheduler.java
@@ -153,6 +153,18 @@
         state.interference().adopt(estimates, now);
     }
 
+    /**
+     * Returns the number of workers that are quarantined or on probation.
+     *
+     * @return the number of workers, 0 or more
+     * @since 0.3
+     */
+    public int quarantinedWorkers() {
+        return (int) state.workers().entries().stream()
+                .filter(entry -> state.health().quarantined(entry.id()))
+                .count();
+    }
+
     /**
      * Plans the next transitions. Callers must commit them before the next call.
      *
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/SchedulerListener.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/SchedulerListener.java
@@ -1,6 +1,7 @@
 package dev.waxwinghead.scheduling.job;
 
 import dev.waxwinghead.model.id.WorkerId;
+import dev.waxwinghead.scheduling.health.QuarantineControl;
 
 /**
  * Listens to the decisions of a {@link JobScheduler}, for logs and metrics. Implementations must not block.
@@ -108,6 +109,16 @@
      */
     void givenUp(TaskKey task, int crashes);
 
+    /**
+     * Called when a worker is quarantined, or would be if the bound on the share of quarantined workers allowed it.
+     *
+     * @param worker the worker
+     * @param evidence the failures that count against the worker
+     * @param millis how long the quarantine lasts, in milliseconds; 0 if the bound does not allow it
+     * @since 0.3
+     */
+    void quarantineDecided(WorkerId worker, QuarantineControl.Evidence evidence, long millis);
+
     /**
      * Called when a lasting task is not started again at once, since its runs end soon after each start.
      *
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/SchedulerState.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/SchedulerState.java
@@ -3,6 +3,7 @@
 import dev.waxwinghead.model.id.JobId;
 import dev.waxwinghead.model.id.ServiceName;
 import dev.waxwinghead.model.id.WorkerId;
+import dev.waxwinghead.scheduling.health.QuarantineControl;
 import dev.waxwinghead.scheduling.health.WorkerHealth;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -19,11 +20,14 @@
     /** The duration of the first quarantine of a worker on which jobs fail that succeed elsewhere. */
     private static final long QUARANTINE_NANOS = TimeUnit.SECONDS.toNanos(6);
 
+    /** The share of a service's workers above which failures are not attributed to single workers. */
+    private static final double MAX_QUARANTINED_SHARE = 0.34;
+
     private final JobTable table;
     private final SchedulerTimes times;
     private final Predicate<ServiceName> declared;
     private final SchedulerListener events;
-    private final WorkerHealth<JobId, TaskKey> health = WorkerHealth.create(QUARANTINE_NANOS);
+    private final WorkerHealth<JobId, TaskKey> health;
     private final InterferenceControl interference = new InterferenceControl();
     private final Map<TaskKey, Set<WorkerId>> avoidedWorkers = new HashMap<>();
     private final WaitLog waits;
@@ -42,6 +46,7 @@
         this.times = times;
         this.declared = declared;
         this.events = events;
+        this.health = WorkerHealth.create(QUARANTINE_NANOS, new Quarantines());
         this.waits = new WaitLog(events);
         this.slowWorkers = new SlowWorkerDetector(events);
         this.restartPauses = new RestartPauses(events);
@@ -199,6 +204,29 @@
         return avoidedWorkers.getOrDefault(task, Set.of());
     }
 
+    /** Bounds the share of a service's workers that are quarantined at a time, and reports quarantines. */
+    private final class Quarantines implements QuarantineControl {
+        @Override
+        public boolean permits(WorkerId worker) {
+            Optional<ServiceName> service =
+                    workers.find(worker).map(entry -> entry.report().service());
+            int total = 0;
+            int quarantined = 0;
+            for (WorkerEntry entry : workers.entries()) {
+                if (service.filter(entry.report().service()::equals).isPresent()) {
+                    total++;
+                    quarantined += health.quarantined(entry.id()) ? 1 : 0;
+                }
+            }
+            return quarantined + 1 <= Math.max(1, MAX_QUARANTINED_SHARE * total);
+        }
+
+        @Override
+        public void decided(WorkerId worker, Evidence evidence, long millis) {
+            events.quarantineDecided(worker, evidence, millis);
+        }
+    }
+
     /** Discards what was learned about a job that has ended. */
     void forget(JobId job) {
         health.forget(job);
--- a/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/health/WorkerHealthTests.java
+++ b/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/health/WorkerHealthTests.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import dev.waxwinghead.model.id.WorkerId;
+import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
@@ -14,7 +15,7 @@
     private static final WorkerId W3 = WorkerId.of("w3");
     private static final long QUARANTINE = 6;
 
-    private final WorkerHealth<String, String> health = WorkerHealth.create(QUARANTINE);
+    private final WorkerHealth<String, String> health = WorkerHealth.create(QUARANTINE, QuarantineControl.UNBOUNDED);
 
     /** Guards against a quarantine that is doubled without a trial. */
     @Test
@@ -105,6 +106,46 @@
         assertThat(health.quarantined(W1)).isTrue();
     }
 
+    @Test
+    void aQuarantineLastsAtMostFourTimesAsLongAsTheFirst() {
+        failThreeTimes();
+        long now = QUARANTINE;
+        for (long lasts : List.of(2 * QUARANTINE, 4 * QUARANTINE, 4 * QUARANTINE)) {
+            health.failed(W1, "b", "b" + now, now);
+            assertThat(health.accepts(W1, "c", now + lasts - 1)).isFalse();
+            assertThat(health.accepts(W1, "c", now + lasts)).isTrue();
+            now += lasts;
+        }
+    }
+
+    @Test
+    void aWorkerIsNotQuarantinedAgainstTheControl() {
+        Refusal refusal = new Refusal();
+        WorkerHealth<String, String> bounded = WorkerHealth.create(QUARANTINE, refusal);
+        bounded.failed(W1, "a", "a1", 0);
+        bounded.failed(W1, "b", "b1", 0);
+        bounded.failed(W1, "b", "b2", 0);
+        bounded.review(W1, 1);
+        assertThat(bounded.quarantined(W1)).isFalse();
+        assertThat(bounded.restricted(W1)).isTrue();
+        assertThat(refusal.decisions).containsExactly("w1 failures 3 of 3 tasks of 2 jobs: 0 ms");
+    }
+
+    private static final class Refusal implements QuarantineControl {
+        private final List<String> decisions = new ArrayList<>();
+
+        @Override
+        public boolean permits(WorkerId worker) {
+            return false;
+        }
+
+        @Override
+        public void decided(WorkerId worker, Evidence evidence, long millis) {
+            decisions.add(worker.value() + " failures " + evidence.failures() + " of " + evidence.tasks() + " tasks of "
+                    + evidence.jobs() + " jobs: " + millis + " ms");
+        }
+    }
+
     private void failThreeTimes() {
         health.failed(W1, "a", "a1", 0);
         health.failed(W1, "b", "b1", 0);
--- a/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobSchedulerTests.java
+++ b/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobSchedulerTests.java
@@ -6,6 +6,7 @@
 import dev.waxwinghead.model.id.JobId;
 import dev.waxwinghead.model.id.ServiceName;
 import dev.waxwinghead.model.id.WorkerId;
+import dev.waxwinghead.scheduling.health.QuarantineControl;
 import dev.waxwinghead.scheduling.interference.PairEstimate;
 import dev.waxwinghead.scheduling.job.WorkerReport.EndedRun;
 import dev.waxwinghead.scheduling.job.WorkerReport.ReportedEnd;
@@ -34,6 +35,8 @@
     private final List<String> losses = new ArrayList<>();
     private final List<TaskKey> givenUp = new ArrayList<>();
     private final List<String> waits = new ArrayList<>();
+    private final Set<String> quarantines = new HashSet<>();
+    private final Set<String> refusedQuarantines = new HashSet<>();
     private final Set<ServiceName> services = new HashSet<>(Set.of(ServiceName.of("orders")));
     private JobScheduler scheduler = newScheduler();
     private long index;
@@ -724,6 +727,41 @@
         }
     }
 
+    /** Guards against a fleet of which most workers are quarantined. */
+    @Nested
+    class WorkersOnWhichEverythingFails {
+        private static final int WORKERS = 6;
+
+        private final List<WorkerIncarnation> fleet = new ArrayList<>();
+
+        @Test
+        void areQuarantinedUpToAThirdOfTheService() {
+            for (int i = 0; i < WORKERS; i++) {
+                fleet.add(JobFixtures.incarnation("w" + "x".repeat(i), 1));
+            }
+            for (int i = 0; i < 2 * WORKERS; i++) {
+                accept("j" + i, JobFixtures.step(2, List.of()));
+            }
+            fleet.forEach(JobSchedulerTests.this::report);
+            commit(plan());
+            for (WorkerIncarnation worker : fleet) {
+                failAll(worker);
+            }
+            assertThat(quarantines).containsExactly("w", "wx");
+            assertThat(refusedQuarantines).containsAnyOf("wxx", "wxxx", "wxxxx", "wxxxxx");
+        }
+
+        private void failAll(WorkerIncarnation worker) {
+            long number = 0;
+            List<EndedRun> ends = new ArrayList<>();
+            for (RunKey run : table.runsOn(worker)) {
+                ends.add(new EndedRun(++number, run, ReportedEnd.FAILED, ""));
+            }
+            scheduler.report(JobFixtures.report(worker, ++sequence, List.of(), ends), now);
+            commit(plan());
+        }
+    }
+
     /** Guards against a lasting task that is started several times a second, as its runs end soon after each start. */
     @Nested
     class LastingTasksWhoseRunsAreShort {
@@ -1231,7 +1269,11 @@
     }
 
     private JobScheduler newScheduler() {
-        return JobScheduler.of(table, TIMES, services::contains, new RecordedEvents(stops, losses, givenUp, waits));
+        return JobScheduler.of(
+                table,
+                TIMES,
+                services::contains,
+                new RecordedEvents(stops, losses, givenUp, waits, quarantines, refusedQuarantines));
     }
 
     /** Lets another process hold the address of a worker, which leaves and so gets no tasks. */
@@ -1295,8 +1337,14 @@
         return new EndedRun(number, JobFixtures.run(job, 0, task, attempt), end, "");
     }
 
-    /** Records the reasons for which runs were stopped, workers were lost and jobs wait, and the tasks given up. */
-    private record RecordedEvents(List<String> stops, List<String> losses, List<TaskKey> givenUp, List<String> waits)
+    /** Records the reasons for which runs were stopped, workers were lost and jobs wait, and other decisions. */
+    private record RecordedEvents(
+            List<String> stops,
+            List<String> losses,
+            List<TaskKey> givenUp,
+            List<String> waits,
+            Set<String> quarantines,
+            Set<String> refusedQuarantines)
             implements SchedulerListener {
         @Override
         public void workerSeen(WorkerReport report) {}
@@ -1340,6 +1388,11 @@
             givenUp.add(task);
         }
 
+        @Override
+        public void quarantineDecided(WorkerId worker, QuarantineControl.Evidence evidence, long millis) {
+            (millis > 0 ? quarantines : refusedQuarantines).add(worker.value());
+        }
+
         @Override
         public void restartPaused(TaskKey task, int shortRuns, long millis) {}
 
--- a/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/SilentListener.java
+++ b/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/SilentListener.java
@@ -1,6 +1,7 @@
 package dev.waxwinghead.scheduling.job;
 
 import dev.waxwinghead.model.id.WorkerId;
+import dev.waxwinghead.scheduling.health.QuarantineControl;
 
 /** Ignores all decisions of a scheduler. */
 class SilentListener implements SchedulerListener {
@@ -40,6 +41,9 @@
     @Override
     public void givenUp(TaskKey task, int crashes) {}
 
+    @Override
+    public void quarantineDecided(WorkerId worker, QuarantineControl.Evidence evidence, long millis) {}
+
     @Override
     public void restartPaused(TaskKey task, int shortRuns, long millis) {}
 
