Count jobs as queued until a worker has listed a run

Cause: a job left the state queued with the commit of its first start. The worker of these starts was lost for good, which is noticed only once its lease has expired.

The acting scheduler commits Begun for a job once a report lists a run of it, as running or as ended other than refused, at most every 500 ms for all jobs together; what callers read may be 2 s old. Ends that only a started run can have count too.

--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobCodec.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobCodec.java
@@ -31,6 +31,7 @@
     private static final int STARTED = 1;
     private static final int ENDED = 2;
     private static final int FORGOTTEN = 3;
+    private static final int BEGUN = 4;
 
     private static final int CHECKPOINTS = 1;
     private static final int GANG = 2;
@@ -167,6 +168,8 @@
             packer.packInt(ended.end().code()).packString(ended.checkpoint());
         } else if (transition instanceof JobTransition.Removed forgotten) {
             packer.packInt(FORGOTTEN).packString(forgotten.job().value());
+        } else if (transition instanceof JobTransition.Begun begun) {
+            packer.packInt(BEGUN).packString(begun.job().value());
         }
     }
 
@@ -178,6 +181,7 @@
                 new JobTransition.Ended(
                         unpackRun(unpacker), RunEnd.ofCode(unpacker.unpackInt()), unpacker.unpackString());
             case FORGOTTEN -> new JobTransition.Removed(JobId.of(unpacker.unpackString()));
+            case BEGUN -> new JobTransition.Begun(JobId.of(unpacker.unpackString()));
             default -> throw new IOException("unknown transition type " + type);
         };
     }
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobSection.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobSection.java
@@ -57,6 +57,7 @@
                 MessagePackCodec.list(packer, table.all(), JobSection::packJob);
                 MessagePackCodec.list(packer, suspects(), this::packSuspect);
                 MessagePackCodec.list(packer, runningGangs(), this::packGangAttempt);
+                MessagePackCodec.list(packer, notBegun(), (out, job) -> out.packString(job.value()));
             });
         }
     }
@@ -69,13 +70,17 @@
                 long epoch = unpacker.unpackLong();
                 table.restore(epoch, MessagePackCodec.list(unpacker, in -> JobId.of(in.unpackString())));
                 MessagePackCodec.list(unpacker, this::unpackJob);
-                // Snapshots of earlier versions end here or after the next list.
+                // Snapshots of earlier versions end here or after one of the next lists.
                 if (unpacker.hasNext()) {
                     MessagePackCodec.list(unpacker, this::unpackSuspect);
                 }
                 if (unpacker.hasNext()) {
                     MessagePackCodec.list(unpacker, this::unpackGangAttempt);
                 }
+                if (unpacker.hasNext()) {
+                    MessagePackCodec.list(unpacker, in -> JobId.of(in.unpackString()))
+                            .forEach(table::restoreNotBegun);
+                }
                 return epoch;
             });
         }
@@ -129,6 +134,14 @@
         return gangs;
     }
 
+    /** Returns the jobs that have runs, none of which a worker has listed. */
+    private List<JobId> notBegun() {
+        return table.all().stream()
+                .filter(job -> job.state() == JobState.RUNNING && !job.begun())
+                .map(JobRecord::id)
+                .toList();
+    }
+
     private void packGangAttempt(MessageBufferPacker packer, TaskKey member) throws IOException {
         JobRecord job = table.find(member.job()).orElseThrow();
         JobCodec.packTask(packer, member);
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobService.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobService.java
@@ -135,7 +135,7 @@
                 return CompletableFuture.completedFuture(new JobAnswer.Queued(queued));
             }
             Optional<JobRecord> job = table.find(JobId.of(resolved.jobIdText()));
-            JobAnswer answer = job.<JobAnswer>map(known -> new JobAnswer.Known(known.state()))
+            JobAnswer answer = job.<JobAnswer>map(known -> new JobAnswer.Known(known.visibleState()))
                     .orElseGet(JobAnswer.Absent::new);
             return CompletableFuture.completedFuture(answer);
         }
@@ -155,7 +155,7 @@
         }
         synchronized (table) {
             return table.find(id)
-                    .<JobAnswer>map(job -> new JobAnswer.Known(job.state()))
+                    .<JobAnswer>map(job -> new JobAnswer.Known(job.visibleState()))
                     .orElseGet(JobAnswer.Absent::new);
         }
     }
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/JobRecord.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/JobRecord.java
@@ -11,6 +11,7 @@
     private final long acceptedEpochMillis;
     private final List<List<StepRecord>> occurrences;
     private JobState state;
+    private boolean begun;
 
     JobRecord(JobSubmission submission, JobTerms terms, long acceptedEpochMillis, JobState state) {
         this.submission = submission;
@@ -68,6 +69,26 @@
         return state;
     }
 
+    /**
+     * Returns whether a worker has listed a run of the job.
+     *
+     * @return false while all runs may have been assigned to workers that never started them
+     * @since 0.3
+     */
+    public boolean begun() {
+        return begun;
+    }
+
+    /**
+     * Returns the state that callers see: a job is queued until it has begun.
+     *
+     * @return the state, never null
+     * @since 0.3
+     */
+    public JobState visibleState() {
+        return state == JobState.RUNNING && !begun ? JobState.QUEUED : state;
+    }
+
     /**
      * Returns the steps of each occurrence.
      *
@@ -168,6 +189,14 @@
                 && task.index() < submission.steps().get(task.step()).count();
     }
 
+    void begin() {
+        begun = true;
+    }
+
+    void restoreNotBegun() {
+        begun = false;
+    }
+
     void state(JobState next) {
         state = next;
     }
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/JobTable.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/JobTable.java
@@ -145,7 +145,7 @@
     }
 
     /**
-     * Returns the number of accepted jobs of a class that have no started task and no start time.
+     * Returns the number of accepted jobs of a class that have not begun and have no start time.
      *
      * @param jobClass the class
      * @return the number of jobs, 0 or more
@@ -187,6 +187,8 @@
                 start(started);
             } else if (transition instanceof JobTransition.Ended ended) {
                 end(ended);
+            } else if (transition instanceof JobTransition.Begun begun) {
+                find(begun.job()).ifPresent(this::begin);
             } else if (transition instanceof JobTransition.Removed removed) {
                 forget(removed.job());
             }
@@ -226,6 +228,9 @@
         if (run.isEmpty()) {
             return;
         }
+        if (provesStart(ended.end())) {
+            begin(job);
+        }
         StepRecord step = job.step(key);
         step.end(task, run.get(), ended.end(), ended.checkpoint(), ended.recency());
         removeRun(run.get().worker(), ended.run());
@@ -237,6 +242,17 @@
         }
     }
 
+    /** Returns whether only a run that its worker has started can end so. */
+    private static boolean provesStart(RunEnd end) {
+        return end == RunEnd.COMPLETED || end == RunEnd.FAILED || end == RunEnd.INTERRUPTED_AFTER_START;
+    }
+
+    private void begin(JobRecord job) {
+        countQueued(job, -1);
+        job.begin();
+        countQueued(job, 1);
+    }
+
     /** Completes all members of a gang: they complete together, so the first reported completion applies to all. */
     private void completeGang(TaskKey key, StepRecord step) {
         for (int index = 0; index < step.tasks().size(); index++) {
@@ -287,7 +303,7 @@
     }
 
     private void countQueued(JobRecord job, int change) {
-        if (job.state() == JobState.QUEUED && job.submission().schedule().startEpochMillis() == 0) {
+        if (job.visibleState() == JobState.QUEUED && job.submission().schedule().startEpochMillis() == 0) {
             queued.merge(job.terms().jobClass(), change, Integer::sum);
         }
     }
@@ -343,9 +359,25 @@
         if (!state.ended() && record.allCompleted()) {
             record.state(JobState.DONE);
         }
+        if (state != JobState.QUEUED) {
+            record.begin();
+        }
         add(record);
     }
 
+    /**
+     * Restores that a job has not begun, although runs of it have been assigned to workers.
+     *
+     * @param id the id of a restored job
+     * @since 0.3
+     */
+    public void restoreNotBegun(JobId id) {
+        JobRecord job = jobs.get(id);
+        countQueued(job, -1);
+        job.restoreNotBegun();
+        countQueued(job, 1);
+    }
+
     /**
      * Restores how many workers crashed under a task of a restored job.
      *
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/JobTransition.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/JobTransition.java
@@ -38,6 +38,15 @@
         }
     }
 
+    /**
+     * Records that a worker has listed a run of a job, which counts as queued until then. The transition has no effect
+     * if the job has begun or is not known.
+     *
+     * @param job the job
+     * @since 0.3
+     */
+    record Begun(JobId job) implements JobTransition {}
+
     /**
      * Removes a job whose retention period after its end is over.
      *
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/ReportHandler.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/ReportHandler.java
@@ -52,6 +52,7 @@
         if (now - state.takenOverNanos() >= state.times().reportTimeout().toNanos()) {
             entry.endInheritedAnswers();
         }
+        recordBegunJobs(entry);
         recordReadiness(entry);
         recordProgress(entry, now);
         List<InterferenceControl.ResidentTask> residents = state.residents(entry);
@@ -89,6 +90,15 @@
                 .filter(entry -> entry.report().sequence() == receipt.sequence());
     }
 
+    private void recordBegunJobs(WorkerEntry entry) {
+        entry.observations().keySet().forEach(state::recordListed);
+        for (WorkerReport.EndedRun end : entry.ends().values()) {
+            if (end.end() != WorkerReport.ReportedEnd.REFUSED) {
+                state.recordListed(end.run());
+            }
+        }
+    }
+
     private void recordReadiness(WorkerEntry entry) {
         WorkerId worker = entry.id();
         for (Map.Entry<RunKey, RunObservation> observed : entry.observations().entrySet()) {
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/SchedulerState.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/SchedulerState.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -34,6 +35,9 @@
     private final SlowWorkerDetector slowWorkers;
     private final RestartPauses restartPauses;
     private final Set<RunKey> inheritedRuns = new HashSet<>();
+    /** The jobs that have begun by the reports, and may not have for the table. */
+    private final Set<JobId> begunJobs = new LinkedHashSet<>();
+
     private final Map<RunKey, WorkerIncarnation> startsWithoutEnd = new HashMap<>();
     /** The runs that end with the latest plan, which may not be committed yet. */
     private final Set<RunKey> endingRuns = new HashSet<>();
@@ -95,6 +99,7 @@
         workers = new WorkerRegistry();
         endingRuns.clear();
         inheritedRuns.clear();
+        begunJobs.clear();
         startsWithoutEnd.clear();
         for (WorkerIncarnation worker : table.busyWorkers()) {
             inheritedRuns.addAll(table.runsOn(worker));
@@ -135,6 +140,20 @@
         });
     }
 
+    /** Records that a worker has listed a run. */
+    void recordListed(RunKey run) {
+        JobId job = run.task().job();
+        if (table.find(job).filter(each -> !each.begun()).isPresent()) {
+            begunJobs.add(job);
+        }
+    }
+
+    /** Returns the jobs that have begun by the reports, but not for the table. */
+    Set<JobId> begunJobs() {
+        begunJobs.removeIf(job -> table.find(job).filter(each -> !each.begun()).isEmpty());
+        return begunJobs;
+    }
+
     /** Records the ends of a plan that is about to be committed. */
     void recordEnding(List<JobTransition> plan) {
         endingRuns.clear();
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TransitionPlanner.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TransitionPlanner.java
@@ -24,7 +24,11 @@
     /** The gauges of a report cover about this time, so they do not show the effect of newer runs. */
     private static final long GAUGE_WINDOW_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
+    /** The interval at which jobs that have begun are committed; what callers read may be 2 s old. */
+    private static final long BEGUN_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
     private final SchedulerState state;
+    private long begunPlannedNanos;
     private final Map<JobId, Long> endedNanos = new HashMap<>();
     private final Set<JobId> givenUp = new HashSet<>();
 
@@ -43,6 +47,7 @@
     List<JobTransition> plan(long now, long epochMillis) {
         List<JobTransition> plan = new ArrayList<>();
         state.releaseEndedStarts();
+        planBegunJobs(plan, now);
         planEnds(plan, now);
         planEndsOfUnstarted(plan);
         planLosses(plan, now);
@@ -52,6 +57,19 @@
         return plan;
     }
 
+    /** Commits the jobs that have begun, some together, as their state may be out of date for a while. */
+    private void planBegunJobs(List<JobTransition> plan, long now) {
+        if (now - begunPlannedNanos < BEGUN_INTERVAL_NANOS) {
+            return;
+        }
+        for (JobId job : state.begunJobs()) {
+            if (plan.size() < MAX_TRANSITIONS) {
+                plan.add(new JobTransition.Begun(job));
+                begunPlannedNanos = now;
+            }
+        }
+    }
+
     private void planEnds(List<JobTransition> plan, long now) {
         List<WorkerEntry> entries = new ArrayList<>(state.workers().entries());
         entries.addAll(state.workers().earlierIncarnations());
--- a/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobSchedulerTests.java
+++ b/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobSchedulerTests.java
@@ -727,6 +727,76 @@
         }
     }
 
+    /** Guards against a count of queued jobs that leaves out those assigned to a worker that never starts them. */
+    @Nested
+    class CountingQueuedJobs {
+        @BeforeEach
+        void assign() {
+            accept("j1", JobFixtures.step(1, List.of()));
+            startAll(W1);
+            assertThat(table.runsOn(W1)).hasSize(1);
+        }
+
+        @Test
+        void countsAJobUntilAWorkerListsItsRun() {
+            assertThat(queued()).isEqualTo(1);
+            report(W1, running("j1", 0, 1, 0));
+            commit(plan());
+            assertThat(queued()).isEqualTo(0);
+            assertThat(job("j1").visibleState()).isEqualTo(JobState.RUNNING);
+        }
+
+        @Test
+        void countsAJobWhoseWorkerIsLost() {
+            now += TimeUnit.SECONDS.toNanos(11);
+            commit(plan());
+            assertThat(table.runsOn(W1)).isEmpty();
+            assertThat(queued()).isEqualTo(1);
+        }
+
+        @Test
+        void countsAJobWhoseRunIsRefused() {
+            report(W1, ended(1, "j1", 0, 1, ReportedEnd.REFUSED));
+            commit(plan());
+            assertThat(queued()).isEqualTo(1);
+        }
+
+        @ParameterizedTest
+        @EnumSource(
+                value = ReportedEnd.class,
+                names = {"COMPLETED", "FAILED", "STOPPED", "LEASE_EXPIRED"})
+        void doesNotCountAJobWhoseRunEndedBeforeItWasListed(ReportedEnd how) {
+            report(W1, ended(1, "j1", 0, 1, how));
+            commit(plan());
+            assertThat(queued()).isEqualTo(0);
+        }
+
+        @Test
+        void doesNotCountAJobOnceItHasBegunUnderAnEarlierScheduler() {
+            report(W1, running("j1", 0, 1, 0));
+            commit(plan());
+            scheduler = newScheduler();
+            acquire();
+            now += TimeUnit.SECONDS.toNanos(30);
+            commit(plan());
+            assertThat(table.runsOn(W1)).isEmpty();
+            assertThat(queued()).isEqualTo(0);
+        }
+
+        @Test
+        void learnsFromTheReportsToANewSchedulerThatAJobHasBegun() {
+            scheduler = newScheduler();
+            acquire();
+            report(W1, running("j1", 0, 1, 0));
+            commit(plan());
+            assertThat(queued()).isEqualTo(0);
+        }
+
+        private int queued() {
+            return table.queued(JobFixtures.TERMS.jobClass());
+        }
+    }
+
     /** Guards against a fleet of which most workers are quarantined. */
     @Nested
     class WorkersOnWhichEverythingFails {
