Keep the tasks of a scheduled occurrence only once it is due

Cause: JobRecord created the records of the tasks of all occurrences when a job was accepted: 16 tasks x 1,440 times x 100 jobs are 2.3 million records.

An occurrence is added to the record when a start or a plan asks for it, so in order of the due times. The remaining critical path of a job with later occurrences is that of the whole submission.

Tests: JobTableTests.Scheduling; keepsNoTasksOfOccurrencesThatAreNotDue replaces a measure of memory. Not seen failing on the old sources one by one; the method they ask counted all occurrences there.

--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/JobRecord.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/JobRecord.java
@@ -2,14 +2,18 @@
 
 import dev.waxwinghead.model.id.JobId;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
+import java.util.Objects;
 
 /** Holds a job: the submission, the terms of its class and the state of its tasks. */
 public final class JobRecord {
     private final JobSubmission submission;
     private final JobTerms terms;
     private final long acceptedEpochMillis;
-    private final List<List<StepRecord>> occurrences;
+    /** The first occurrences; the others have no task that was ever started, and are added when they are asked for. */
+    private final List<List<StepRecord>> occurrences = new ArrayList<>();
+
     private JobState state;
     private boolean begun;
 
@@ -18,10 +22,6 @@
         this.terms = terms;
         this.acceptedEpochMillis = acceptedEpochMillis;
         this.state = state;
-        this.occurrences = new ArrayList<>();
-        for (int occurrence = 0; occurrence < submission.schedule().occurrences(); occurrence++) {
-            occurrences.add(submission.steps().stream().map(StepRecord::new).toList());
-        }
     }
 
     /**
@@ -90,12 +90,28 @@
     }
 
     /**
-     * Returns the steps of each occurrence.
+     * Returns the steps of the occurrences whose tasks may have been started. The steps of the others take no memory.
      *
      * @return the steps by occurrence and position; a live view
      */
     public List<List<StepRecord>> occurrences() {
-        return occurrences;
+        return Collections.unmodifiableList(occurrences);
+    }
+
+    /**
+     * Returns the steps of an occurrence.
+     *
+     * @param occurrence the occurrence, from 0
+     * @return the steps by position; a live view
+     * @throws IndexOutOfBoundsException if the job has no such occurrence
+     * @since 0.3
+     */
+    public List<StepRecord> occurrence(int occurrence) {
+        Objects.checkIndex(occurrence, submission.schedule().occurrences());
+        while (occurrences.size() <= occurrence) {
+            occurrences.add(submission.steps().stream().map(StepRecord::new).toList());
+        }
+        return occurrences.get(occurrence);
     }
 
     /**
@@ -106,7 +122,7 @@
      * @throws IndexOutOfBoundsException if the job has no such step
      */
     public StepRecord step(TaskKey task) {
-        return occurrences.get(task.occurrence()).get(task.step());
+        return occurrence(task.occurrence()).get(task.step());
     }
 
     /**
@@ -128,7 +144,7 @@
      * @return true if the step's tasks may start
      */
     public boolean ready(int occurrence, int position) {
-        List<StepRecord> steps = occurrences.get(occurrence);
+        List<StepRecord> steps = occurrence(occurrence);
         for (int earlier : submission.steps().get(position).after()) {
             if (!steps.get(earlier).completed()) {
                 return false;
@@ -158,6 +174,9 @@
      * @return the duration in milliseconds, of the occurrence with the longest remaining critical path
      */
     public long remainingCriticalPathMillis() {
+        if (occurrences.size() < submission.schedule().occurrences()) {
+            return submission.criticalPathMillis();
+        }
         long longest = 0;
         for (List<StepRecord> steps : occurrences) {
             longest = Math.max(longest, remainingCriticalPathMillis(steps));
@@ -182,7 +201,7 @@
 
     boolean contains(TaskKey task) {
         return task.occurrence() >= 0
-                && task.occurrence() < occurrences.size()
+                && task.occurrence() < submission.schedule().occurrences()
                 && task.step() >= 0
                 && task.step() < submission.steps().size()
                 && task.index() >= 0
@@ -202,6 +221,7 @@
     }
 
     boolean allCompleted() {
-        return occurrences.stream().allMatch(steps -> steps.stream().allMatch(StepRecord::completed));
+        return occurrences.size() == submission.schedule().occurrences()
+                && occurrences.stream().allMatch(steps -> steps.stream().allMatch(StepRecord::completed));
     }
 }
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/StartPlan.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/StartPlan.java
@@ -38,13 +38,13 @@
     }
 
     private void addTasks(JobRecord job, long epochMillis, boolean replacements) {
-        for (int occurrence = 0; occurrence < job.occurrences().size(); occurrence++) {
+        for (int occurrence = 0; occurrence < job.submission().schedule().occurrences(); occurrence++) {
             long due = job.submission().schedule().dueEpochMillis(occurrence);
             if (due > 0 && epochMillis < due + state.times().dueSlack().toMillis()) {
                 return;
             }
             for (int position = 0; position < job.submission().steps().size(); position++) {
-                StepRecord step = job.occurrences().get(occurrence).get(position);
+                StepRecord step = job.occurrence(occurrence).get(position);
                 boolean wanted = !replacements || isReplaceable(step.step());
                 if (wanted && step.mayHaveWaitingTasks() && job.ready(occurrence, position)) {
                     addStep(job, occurrence, position, step, replacements);
--- a/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobTableTests.java
+++ b/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobTableTests.java
@@ -229,6 +229,84 @@
         }
     }
 
+    /** Guards against accepted schedules that use up the memory of all hosts. */
+    @Nested
+    class Scheduling {
+        private static final int TIMES = 1440;
+        private static final JobSchedule DAILY = new JobSchedule(TIMES, 3_600_000, 60_000);
+
+        @Test
+        void keepsNoTasksOfOccurrencesThatAreNotDue() {
+            for (int job = 0; job < 1000; job++) {
+                accept("j" + job);
+            }
+            assertThat(table.all().stream()
+                            .mapToInt(each -> each.occurrences().size())
+                            .sum())
+                    .isEqualTo(0);
+            assertThat(table.active()).hasSize(1000);
+        }
+
+        @Test
+        void keepsTheTasksUpToTheLatestOccurrenceThatWasStarted() {
+            accept("j1");
+            start(2, 1);
+            assertThat(job("j1").occurrences()).hasSize(3);
+            assertThat(job("j1").liveRuns()).isEqualTo(1);
+        }
+
+        @Test
+        void completesAJobWithItsLastOccurrence() {
+            apply(new JobCommand.Accept(
+                    new JobSubmission(JobId.of("j1"), "", List.of(step()), new JobSchedule(2, 1000, 1000)),
+                    JobFixtures.TERMS,
+                    0));
+            for (int occurrence = 0; occurrence < 2; occurrence++) {
+                assertThat(job("j1").state()).isNotEqualTo(JobState.DONE);
+                for (int task = 0; task < step().count(); task++) {
+                    RunKey run = new RunKey(new TaskKey(JobId.of("j1"), occurrence, 0, task), 1);
+                    advance(new JobTransition.Started(run, WORKER));
+                    advance(new JobTransition.Ended(run, RunEnd.COMPLETED, ""));
+                }
+            }
+            assertThat(job("j1").state()).isEqualTo(JobState.DONE);
+        }
+
+        @Test
+        void restoresALaterOccurrence() {
+            JobTable.RestoredTask task =
+                    new JobTable.RestoredTask(new TaskKey(JobId.of("j1"), 5, 0, 3), 1, 0, true, "", List.of());
+            table.restore(submission("j1"), JobState.RUNNING, List.of(task));
+            assertThat(job("j1").state()).isEqualTo(JobState.RUNNING);
+            assertThat(job("j1").task(task.key()).completed()).isTrue();
+        }
+
+        @Test
+        void ignoresARunOfAnOccurrenceThatDoesNotExist() {
+            accept("j1");
+            start(TIMES, 1);
+            assertThat(table.runsOn(WORKER)).isEmpty();
+        }
+
+        private void accept(String id) {
+            apply(submission(id));
+        }
+
+        private void start(int occurrence, int attempt) {
+            RunKey run = new RunKey(new TaskKey(JobId.of("j1"), occurrence, 0, 0), attempt);
+            advance(new JobTransition.Started(run, WORKER));
+        }
+
+        private static JobCommand.Accept submission(String id) {
+            return new JobCommand.Accept(
+                    new JobSubmission(JobId.of(id), "", List.of(step()), DAILY), JobFixtures.TERMS, 0);
+        }
+
+        private static JobStep step() {
+            return JobFixtures.step(16, List.of());
+        }
+    }
+
     /** Guards against a gang of which an earlier version has completed only the members with a live run. */
     @Nested
     class RestoringAPartlyCompletedGang {
