--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TransitionPlanner.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TransitionPlanner.java
@@ -37,6 +37,7 @@
     }
 
     void takeOver(long now) {
+        begunPlannedNanos = now - BEGUN_INTERVAL_NANOS;
         for (JobRecord job : state.table().all()) {
             if (job.state().ended()) {
                 endedNanos.putIfAbsent(job.id(), now);
