--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobEngine.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobEngine.java
@@ -238,6 +238,13 @@
         }
     }
 
+    /** Returns the capacity counted for runs that no report lists, in millicores; 0 if this host does not act. */
+    long unlistedMillicores() {
+        synchronized (table) {
+            return acting() ? scheduler.unlistedMillicores(ticker.nanos()) : 0;
+        }
+    }
+
     /** Records that a worker exits. Returns false if this host does not act. */
     boolean workerExited(WorkerId worker, OptionalLong startedEpochMillis) {
         synchronized (table) {
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobHost.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobHost.java
@@ -123,6 +123,7 @@
                 ticker,
                 System::currentTimeMillis));
         meters.gauge("waxwinghead.job.workers.quarantined", engine, JobEngine::quarantinedWorkers);
+        meters.gauge("waxwinghead.job.room.unlisted.millicores", engine, JobEngine::unlistedMillicores);
         jobs.onChange(engine::wake);
         JobService service = new JobService(
                 sharedState,
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/JobScheduler.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/JobScheduler.java
@@ -23,12 +23,14 @@
     private final SchedulerState state;
     private final ReportHandler reportHandler;
     private final TransitionPlanner planner;
+    private final UnlistedRoom unlistedRoom;
     private long describedNanos;
 
     private JobScheduler(SchedulerState state) {
         this.state = state;
         this.reportHandler = new ReportHandler(state);
         this.planner = new TransitionPlanner(state);
+        this.unlistedRoom = new UnlistedRoom(state);
     }
 
     /**
@@ -165,6 +167,18 @@
                 .count();
     }
 
+    /**
+     * Returns the capacity that the table counts for runs that their workers' reports have not listed for longer than a
+     * start takes. Values that do not return to 0 show room that is never given back.
+     *
+     * @param now the current time, in nanoseconds of a monotonic clock
+     * @return the processor time of these runs, in millicores
+     * @since 0.3
+     */
+    public long unlistedMillicores(long now) {
+        return unlistedRoom.millicores(now);
+    }
+
     /**
      * Plans the next transitions. Callers must commit them before the next call.
      *
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/UnlistedRuns.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/UnlistedRuns.java
@@ -11,13 +11,18 @@
 /** Finds the live runs of one worker that its reports list neither as running nor as ended. */
 final class UnlistedRuns {
     /** Covers the answer with the start, the next report and one lost report. */
-    private static final long OVERDUE_NANOS = TimeUnit.SECONDS.toNanos(3);
+    static final long OVERDUE_NANOS = TimeUnit.SECONDS.toNanos(3);
 
     /** Stands for the time of a run that was returned as overdue. */
     private static final long RETURNED = Long.MAX_VALUE;
 
     private final Map<RunKey, Long> sinceNanos = new HashMap<>();
 
+    /** Returns whether a run was found to be overdue, and not listed since. */
+    boolean overdue(RunKey run) {
+        return sinceNanos.getOrDefault(run, 0L) == RETURNED;
+    }
+
     /**
      * Compares a report with the live runs.
      *
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/WorkerEntry.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/WorkerEntry.java
@@ -157,6 +157,11 @@
         return unlisted.update(live, run -> observations.containsKey(run) || ends.containsKey(run), now);
     }
 
+    /** Returns whether a live run is overdue in the worker's reports. */
+    boolean overdue(RunKey run) {
+        return unlisted.overdue(run);
+    }
+
     void extendLease(long untilNanos) {
         leaseEndNanos = Math.max(leaseEndNanos, untilNanos);
     }
--- a/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobSchedulerTests.java
+++ b/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobSchedulerTests.java
@@ -797,6 +797,57 @@
         }
     }
 
+    /** Guards against room that is kept for runs that no worker has, unseen. */
+    @Nested
+    class MeasuringUnlistedRoom {
+        @BeforeEach
+        void assign() {
+            accept("j1", JobFixtures.step(2, List.of()));
+            startAll(W1);
+        }
+
+        @Test
+        void leavesOutRunsThatWereJustStarted() {
+            report(W1);
+            pass(2900);
+            report(W1);
+            assertThat(scheduler.unlistedMillicores(now)).isEqualTo(0);
+        }
+
+        @Test
+        void countsRunsThatTheReportsLackForThreeSecondsUntilTheyAreListed() {
+            report(W1);
+            pass(3000);
+            report(W1, running("j1", 0, 1, 10));
+            assertThat(scheduler.unlistedMillicores(now)).isEqualTo(1000);
+            report(W1, ended(1, "j1", 1, 1, ReportedEnd.REFUSED));
+            assertThat(scheduler.unlistedMillicores(now)).isEqualTo(0);
+        }
+
+        @Test
+        void countsTheRunsOfSilentWorkersUntilTheirLeaseHasExpired() {
+            report(W1, running("j1", 0, 1, 10));
+            pass(3001);
+            assertThat(scheduler.unlistedMillicores(now)).isEqualTo(2000);
+            pass(8000);
+            commit(plan());
+            assertThat(scheduler.unlistedMillicores(now)).isEqualTo(0);
+        }
+
+        @Test
+        void countsTheRunsOfWorkersThatANewSchedulerHasNotHeardOf() {
+            scheduler = newScheduler();
+            acquire();
+            assertThat(scheduler.unlistedMillicores(now)).isEqualTo(0);
+            pass(3000);
+            assertThat(scheduler.unlistedMillicores(now)).isEqualTo(2000);
+        }
+
+        private void pass(long millis) {
+            now += TimeUnit.MILLISECONDS.toNanos(millis);
+        }
+    }
+
     /** Guards against a fleet of which most workers are quarantined. */
     @Nested
     class WorkersOnWhichEverythingFails {
