Commit begun jobs together with other transitions

A plan of begun jobs alone had a commit of its own up to twice a second, and the next plan waits for it: for a sync of the disk on a majority, longer on slow disks. Begun jobs join the next plan now, or are planned alone after a second; what callers read may be 2 s old.

--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TransitionPlanner.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TransitionPlanner.java
@@ -24,8 +24,10 @@
     /** The gauges of a report cover about this time, so they do not show the effect of newer runs. */
     private static final long GAUGE_WINDOW_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
 
-    /** The interval at which jobs that have begun are committed; what callers read may be 2 s old. */
-    private static final long BEGUN_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+    /**
+     * How long the begin of a job waits for other transitions to be committed with; what callers read may be 2 s old.
+     */
+    private static final long MAX_BEGUN_DELAY_NANOS = TimeUnit.SECONDS.toNanos(1);
 
     private final SchedulerState state;
     private long begunPlannedNanos;
@@ -37,7 +39,7 @@
     }
 
     void takeOver(long now) {
-        begunPlannedNanos = now - BEGUN_INTERVAL_NANOS;
+        begunPlannedNanos = now;
         for (JobRecord job : state.table().all()) {
             if (job.state().ended()) {
                 endedNanos.putIfAbsent(job.id(), now);
@@ -48,25 +50,25 @@
     List<JobTransition> plan(long now, long epochMillis) {
         List<JobTransition> plan = new ArrayList<>();
         state.releaseEndedStarts();
-        planBegunJobs(plan, now);
         planEnds(plan, now);
         planEndsOfUnstarted(plan);
         planLosses(plan, now);
         planStarts(plan, now, epochMillis);
         planRemovals(plan, now);
+        planBegunJobs(plan, now);
         state.recordEnding(plan);
         return plan;
     }
 
-    /** Commits the jobs that have begun, some together, as their state may be out of date for a while. */
+    /** Adds the jobs that have begun to a plan that is committed anyway, or to an empty one after a while. */
     private void planBegunJobs(List<JobTransition> plan, long now) {
-        if (now - begunPlannedNanos < BEGUN_INTERVAL_NANOS) {
+        if (plan.isEmpty() && now - begunPlannedNanos < MAX_BEGUN_DELAY_NANOS) {
             return;
         }
+        begunPlannedNanos = now;
         for (JobId job : state.begunJobs()) {
             if (plan.size() < MAX_TRANSITIONS) {
                 plan.add(new JobTransition.Begun(job));
-                begunPlannedNanos = now;
             }
         }
     }
--- a/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobSchedulerTests.java
+++ b/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobSchedulerTests.java
@@ -741,11 +741,24 @@
         void countsAJobUntilAWorkerListsItsRun() {
             assertThat(queued()).isEqualTo(1);
             report(W1, running("j1", 0, 1, 0));
+            now += TimeUnit.SECONDS.toNanos(1);
             commit(plan());
             assertThat(queued()).isEqualTo(0);
             assertThat(job("j1").visibleState()).isEqualTo(JobState.RUNNING);
         }
 
+        /** Guards against a commit of its own for each job that begins. */
+        @Test
+        void recordsABegunJobWithTheNextPlan() {
+            report(W1, running("j1", 0, 1, 0));
+            assertThat(plan()).isEmpty();
+            accept("j2", JobFixtures.step(1, List.of()));
+            List<JobTransition> plan = plan();
+            assertThat(plan).hasSize(2);
+            commit(plan);
+            assertThat(queued()).isEqualTo(1);
+        }
+
         @Test
         void countsAJobWhoseWorkerIsLost() {
             now += TimeUnit.SECONDS.toNanos(11);
@@ -774,6 +787,7 @@
         @Test
         void doesNotCountAJobOnceItHasBegunUnderAnEarlierScheduler() {
             report(W1, running("j1", 0, 1, 0));
+            now += TimeUnit.SECONDS.toNanos(1);
             commit(plan());
             scheduler = newScheduler();
             acquire();
@@ -788,6 +802,7 @@
             scheduler = newScheduler();
             acquire();
             report(W1, running("j1", 0, 1, 0));
+            now += TimeUnit.SECONDS.toNanos(1);
             commit(plan());
             assertThat(queued()).isEqualTo(0);
         }
