Log decisions on elections, members and requests to join

Counters for elections, refused votes, leader changes and requests to join are served with the metrics. No decision is changed.

--- a/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/consensus/CoreState.java
+++ b/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/consensus/CoreState.java
@@ -22,6 +22,7 @@
     final List<Ready.Outbound> immediate = new ArrayList<>();
     final List<Ready.Outbound> afterSync = new ArrayList<>();
 
+    ElectionListener electionListener = ElectionListener.NONE;
     long now;
     HardState hardState;
     Role role = Role.FOLLOWER;
--- a/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/consensus/Elections.java
+++ b/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/consensus/Elections.java
@@ -74,17 +74,19 @@
     }
 
     void handleVoteRequest(HostId host, VoteRequest request) {
-        if (state.refusesWrites) {
-            return;
-        }
-        if (!mayVoteFor(request.header().from()) || state.hasRecentLeaderContact()) {
-            refuseVote(host, request);
+        ReplicaId candidate = request.header().from();
+        long term = request.header().term();
+        VoteDecision decision = decide(request);
+        state.electionListener.onVoteDecided(host, candidate, term, request.preVote(), decision);
+        if (decision == VoteDecision.STORAGE_REFUSES_WRITES) {
             return;
         }
-        if (request.preVote()) {
-            answerPreVote(host, request);
+        if (decision != VoteDecision.GRANTED) {
+            state.sendAfterSync(host, new VoteResponse(state.headerTo(candidate), request.preVote(), false));
+        } else if (request.preVote()) {
+            state.sendAfterSync(host, new VoteResponse(state.headerTo(candidate, term), true, true));
         } else {
-            answerVote(host, request);
+            vote(host, candidate);
         }
     }
 
@@ -104,6 +106,9 @@
     }
 
     private void startPreVote() {
+        boolean repeated = state.role != Role.FOLLOWER;
+        state.electionListener.onVotesRequested(
+                state.term() + 1, state.membership().voters(), repeated ? Set.copyOf(grantedBy) : Set.of());
         state.role = Role.PRE_CANDIDATE;
         state.resetRetryDeadline();
         grantedBy.clear();
@@ -149,45 +154,49 @@
         }
     }
 
-    private boolean mayVoteFor(ReplicaId candidate) {
-        return !state.membership().removed().contains(candidate);
+    /**
+     * Decides on a request. A request for a vote in a newer term also advances the term, as far as it is considered.
+     */
+    private VoteDecision decide(VoteRequest request) {
+        if (state.refusesWrites) {
+            return VoteDecision.STORAGE_REFUSES_WRITES;
+        }
+        if (state.membership().removed().contains(request.header().from())) {
+            return VoteDecision.CANDIDATE_REMOVED;
+        }
+        if (state.hasRecentLeaderContact()) {
+            return VoteDecision.LEADER_IN_CONTACT;
+        }
+        return request.preVote() ? decidePreVote(request) : decideVote(request);
     }
 
-    private void answerPreVote(HostId host, VoteRequest request) {
-        boolean grant =
-                request.header().term() > state.term() && state.logIsUpToDate(request.lastIndex(), request.lastTerm());
-        if (!grant) {
-            refuseVote(host, request);
-            return;
-        }
-        ReplicaId candidate = request.header().from();
-        state.sendAfterSync(
-                host,
-                new VoteResponse(state.headerTo(candidate, request.header().term()), true, true));
+    private VoteDecision decidePreVote(VoteRequest request) {
+        return request.header().term() <= state.term() ? VoteDecision.TERM_OUTDATED : compareLogs(request);
     }
 
-    private void answerVote(HostId host, VoteRequest request) {
+    private VoteDecision decideVote(VoteRequest request) {
         ReplicaId candidate = request.header().from();
         if (request.header().term() > state.term()) {
             state.becomeFollower(request.header().term());
         }
+        if (request.header().term() != state.term()) {
+            return VoteDecision.TERM_OUTDATED;
+        }
         boolean voteAvailable =
                 state.hardState.votedFor().map(candidate::equals).orElse(true);
-        boolean grant = request.header().term() == state.term()
-                && voteAvailable
-                && state.logIsUpToDate(request.lastIndex(), request.lastTerm());
-        if (!grant) {
-            refuseVote(host, request);
-            return;
-        }
+        return voteAvailable ? compareLogs(request) : VoteDecision.VOTED_FOR_ANOTHER;
+    }
+
+    private VoteDecision compareLogs(VoteRequest request) {
+        return state.logIsUpToDate(request.lastIndex(), request.lastTerm())
+                ? VoteDecision.GRANTED
+                : VoteDecision.LOG_OUTDATED;
+    }
+
+    private void vote(HostId host, ReplicaId candidate) {
         state.role = Role.FOLLOWER;
         state.hardState = new HardState(state.term(), Optional.of(candidate));
         state.resetElectionDeadline();
         state.sendAfterSync(host, new VoteResponse(state.headerTo(candidate), false, true));
     }
-
-    private void refuseVote(HostId host, VoteRequest request) {
-        ReplicaId candidate = request.header().from();
-        state.sendAfterSync(host, new VoteResponse(state.headerTo(candidate), request.preVote(), false));
-    }
 }
--- a/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/consensus/ReplicaCore.java
+++ b/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/consensus/ReplicaCore.java
@@ -69,6 +69,15 @@
         return new ReplicaCore(new CoreState(settings, self, recovered, random, now));
     }
 
+    /**
+     * Reports the decisions in elections to a listener from now on.
+     *
+     * @param listener the listener, not null; replaces the previous one
+     */
+    public void onElections(ElectionListener listener) {
+        state.electionListener = listener;
+    }
+
     /**
      * Advances the clock. A leader without contact with a majority within the election timeout steps down here, so that
      * no later call is decided by a leader whose term may have ended.
--- a/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/replica/Joiner.java
+++ b/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/replica/Joiner.java
@@ -41,6 +41,7 @@
     private final Member desiredMember;
     private final PeerNetwork network;
     private final LogClient logClient;
+    private final ReplicaEventLog eventLog;
     private final Ticker ticker;
     private final Map<HostId, GroupAnswer> peersWithoutGroup = new HashMap<>();
     private boolean groupKnown;
@@ -55,11 +56,13 @@
             ReplicaCore core,
             PeerNetwork network,
             LogClient logClient,
+            ReplicaEventLog eventLog,
             Ticker ticker) {
         this.settings = settings;
         this.core = core;
         this.network = network;
         this.logClient = logClient;
+        this.eventLog = eventLog;
         this.ticker = ticker;
         this.desiredMember = new Member(settings.host(), self, settings.address(), settings.requestsVote());
         this.roundDeadline = ticker.nanos();
@@ -157,7 +160,7 @@
                         host,
                         new LogClientMessage.Join(desiredMember),
                         Deadline.after(ANSWER_TIMEOUT, ticker),
-                        (answer, failure) -> handleJoinAnswer(answer)));
+                        (answer, failure) -> handleJoinAnswer(host, answer, failure)));
     }
 
     private Optional<HostId> joinTarget() {
@@ -173,7 +176,8 @@
         return Optional.of(peers.get(nextPeer++ % peers.size()).host());
     }
 
-    private void handleJoinAnswer(LogClientAnswer answer) {
+    private void handleJoinAnswer(HostId asked, LogClientAnswer answer, WaxwingheadException failure) {
+        eventLog.joinAnswered(asked, failure == null ? answer.toString() : failure.reason());
         if (answer instanceof NotLeader notLeader) {
             leaderHint = notLeader.leader();
             if (leaderHint.isPresent()) {
--- a/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/replica/ReplicaCounters.java
+++ b/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/replica/ReplicaCounters.java
@@ -16,6 +16,9 @@
     final LongAdder syncs = new LongAdder();
     final LongAdder refusedWrites = new LongAdder();
     final LongAdder leaderChanges = new LongAdder();
+    final LongAdder elections = new LongAdder();
+    final LongAdder refusedVotes = new LongAdder();
+    final LongAdder joinRequests = new LongAdder();
     final LongAdder snapshotsTaken = new LongAdder();
     final LongAdder snapshotsInstalled = new LongAdder();
 
@@ -94,6 +97,33 @@
         return leaderChanges.sum();
     }
 
+    /**
+     * Returns the number of times that this replica requested votes, repetitions included.
+     *
+     * @return the count
+     */
+    public long elections() {
+        return elections.sum();
+    }
+
+    /**
+     * Returns the number of votes that this replica refused to other candidates.
+     *
+     * @return the count
+     */
+    public long refusedVotes() {
+        return refusedVotes.sum();
+    }
+
+    /**
+     * Returns the number of answered or failed requests of this replica to join the group.
+     *
+     * @return the count
+     */
+    public long joinRequests() {
+        return joinRequests.sum();
+    }
+
     /**
      * Returns the number of snapshots taken of the local state.
      *
--- a/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/replica/ReplicaLoop.java
+++ b/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/replica/ReplicaLoop.java
@@ -12,7 +12,6 @@
 import dev.waxwinghead.model.error.WaxwingheadException;
 import dev.waxwinghead.model.id.HostId;
 import dev.waxwinghead.model.time.Ticker;
-import java.util.Optional;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
@@ -48,6 +47,7 @@
     private final ReplicaCore core;
     private final Applier applier;
     private final RequestTracker requestTracker;
+    private final ReplicaEventLog eventLog;
     private final Joiner joiner;
     private final Thread thread;
     private volatile boolean running = true;
@@ -59,7 +59,6 @@
     private long resumeDeadline;
 
     private long resumePauseNanos;
-    private Optional<HostId> lastLeader = Optional.empty();
 
     ReplicaLoop(
             ReplicaSettings settings,
@@ -82,12 +81,15 @@
         this.applier = new Applier(machine, settings, this::storeSnapshot, this::fail);
         LogClient logClient = new LogClient(network, this);
         this.requestTracker = new RequestTracker(settings, core, applier, logClient, ticker);
-        this.joiner = new Joiner(settings, storage.replicaId(), core, network, logClient, ticker);
+        this.eventLog = new ReplicaEventLog(settings.host(), counters, ticker);
+        core.onElections(eventLog);
+        this.joiner = new Joiner(settings, storage.replicaId(), core, network, logClient, eventLog, ticker);
         this.view = ReplicaView.of(core);
         this.thread = new Thread(this::run, "waxwinghead-consensus-" + settings.host());
     }
 
     void start() {
+        eventLog.recovered(storage, core.membership());
         storage.recovered().snapshot().ifPresent(applier::restore);
         network.onMessage(PeerChannel.CONSENSUS, this::receive);
         LogClientServer server =
@@ -288,16 +290,7 @@
 
     private void publishView() {
         view = ReplicaView.of(core);
-        if (!core.leaderHost().equals(lastLeader)) {
-            lastLeader = core.leaderHost();
-            counters.leaderChanges.increment();
-            LOG.infof(
-                    "%s is %s in term %d, leader %s",
-                    settings.host(),
-                    core.role(),
-                    core.term(),
-                    lastLeader.map(HostId::value).orElse("unknown"));
-        }
+        eventLog.update(core.membership(), core.isMembershipCommitted(), core.role(), core.term(), core.leaderHost());
     }
 
     private void fail(WaxwingheadException reason) {
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobHost.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobHost.java
@@ -4,6 +4,7 @@
 import dev.waxwinghead.coordination.journal.FileReplicaStorage;
 import dev.waxwinghead.coordination.log.LogStatus;
 import dev.waxwinghead.coordination.peer.PeerChannel;
+import dev.waxwinghead.coordination.replica.ReplicaCounters;
 import dev.waxwinghead.coordination.replica.ReplicaNode;
 import dev.waxwinghead.coordination.replica.ReplicaSettings;
 import dev.waxwinghead.coordination.storage.ReplicaStorage;
@@ -109,8 +110,7 @@
                 storage,
                 network,
                 ticker));
-        FunctionCounter.builder("waxwinghead.log.writes.refused", log.counters(), counters -> counters.refusedWrites())
-                .register(meters);
+        registerMeters(log.counters(), meters);
         SharedState sharedState = LogSharedState.of(log);
         JobEngine engine = closer.register(new JobEngine(
                 settings.self(),
@@ -140,6 +140,19 @@
         return host;
     }
 
+    private static void registerMeters(ReplicaCounters counters, MeterRegistry meters) {
+        FunctionCounter.builder("waxwinghead.log.writes.refused", counters, ReplicaCounters::refusedWrites)
+                .register(meters);
+        FunctionCounter.builder("waxwinghead.log.elections", counters, ReplicaCounters::elections)
+                .register(meters);
+        FunctionCounter.builder("waxwinghead.log.votes.refused", counters, ReplicaCounters::refusedVotes)
+                .register(meters);
+        FunctionCounter.builder("waxwinghead.log.leader.changes", counters, ReplicaCounters::leaderChanges)
+                .register(meters);
+        FunctionCounter.builder("waxwinghead.log.join.requests", counters, ReplicaCounters::joinRequests)
+                .register(meters);
+    }
+
     private static ReplicaSettings replicaSettings(JobHostSettings settings, boolean mayFormGroup) {
         List<HostId> founders = new ArrayList<>(settings.seeds().get());
         if (founders.isEmpty()) {
