--- a/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/jobs/JobHostTests.java
+++ b/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/jobs/JobHostTests.java
@@ -12,11 +12,14 @@
 import java.net.BindException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
@@ -24,8 +27,12 @@
 import org.junit.jupiter.api.io.TempDir;
 
 class JobHostTests {
-    private static final List<HostId> SEEDS =
-            List.of(HostId.of("127.0.0.11"), HostId.of("127.0.0.12"), HostId.of("127.0.0.13"));
+    private static final List<HostId> HOSTS = Stream.of(
+                    "127.0.0.11", "127.0.0.12", "127.0.0.13", "127.0.0.14", "127.0.0.15")
+            .map(HostId::of)
+            .toList();
+
+    private static final List<HostId> SEEDS = HOSTS.subList(0, 3);
 
     private final Closer closer = Closer.create();
 
@@ -42,7 +49,7 @@
     }
 
     private boolean isFreeOnAllHosts() throws IOException {
-        for (HostId host : SEEDS) {
+        for (HostId host : HOSTS) {
             try {
                 bind(host, peerPort);
             } catch (BindException e) {
@@ -69,7 +76,11 @@
     }
 
     private JobHostSettings settings(int number, boolean firstStart) {
-        HostId self = SEEDS.get(number);
+        return settings(number, firstStart, SEEDS.size());
+    }
+
+    private JobHostSettings settings(int number, boolean firstStart, int voters) {
+        HostId self = HOSTS.get(number);
         SchedulerTimes times = new SchedulerTimes(
                 Duration.ofSeconds(10), Duration.ofSeconds(2), Duration.ofSeconds(60), Duration.ofMillis(100));
         return new JobHostSettings(
@@ -80,12 +91,16 @@
                 () -> SEEDS,
                 Optional.of(folder.resolve(self.value())),
                 firstStart,
-                SEEDS.size(),
+                voters,
                 times);
     }
 
     private static boolean findsLeader(JobHost host) throws InterruptedException {
-        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(15);
+        return findsLeader(host, Duration.ofSeconds(15));
+    }
+
+    private static boolean findsLeader(JobHost host, Duration timeout) throws InterruptedException {
+        long end = System.nanoTime() + timeout.toNanos();
         while (host.leader().isEmpty() && System.nanoTime() - end < 0) {
             Thread.sleep(50);
         }
@@ -131,4 +146,60 @@
             assertThat(leading.leader()).isEmpty();
         }
     }
+
+    @Nested
+    class LostDisk {
+        /** The shortest time in which the users expect a host that lost its disk to be back. */
+        private static final Duration CATCH_UP = Duration.ofSeconds(6);
+
+        private final List<JobHost> hosts = new ArrayList<>();
+
+        @BeforeEach
+        void startAllHosts() throws InterruptedException {
+            for (int i = 0; i < HOSTS.size(); i++) {
+                hosts.add(closer.register(startOfFive(i, true)));
+            }
+            for (JobHost host : hosts) {
+                assertThat(findsLeader(host)).isTrue();
+            }
+        }
+
+        @Test
+        void hostJoinsAgainWhileTheLeaderIsNoSeed() throws Exception {
+            HostId leader = letAHostLeadThatIsNoSeed();
+            JobHost rejoined = restartWithEmptyDisk(0);
+            assertThat(findsLeader(rejoined, CATCH_UP)).isTrue();
+            assertThat(rejoined.leader()).hasValue(leader);
+        }
+
+        private HostId letAHostLeadThatIsNoSeed() throws InterruptedException {
+            JobHost observer = hosts.get(HOSTS.size() - 1);
+            assertThat(findsLeader(observer)).isTrue();
+            while (SEEDS.contains(observer.leader().orElseThrow())) {
+                HostId resigning = observer.leader().orElseThrow();
+                hosts.get(HOSTS.indexOf(resigning)).handOver();
+                while (observer.leader().equals(Optional.of(resigning))) {
+                    TimeUnit.MILLISECONDS.sleep(5);
+                }
+                assertThat(findsLeader(observer)).isTrue();
+            }
+            return observer.leader().orElseThrow();
+        }
+
+        private JobHost restartWithEmptyDisk(int number) throws IOException {
+            hosts.get(number).close();
+            try (Stream<Path> files =
+                    Files.list(folder.resolve(HOSTS.get(number).value()))) {
+                for (Path file : files.toList()) {
+                    Files.delete(file);
+                }
+            }
+            return closer.register(startOfFive(number, false));
+        }
+
+        private JobHost startOfFive(int number, boolean firstStart) {
+            return JobHost.start(
+                    settings(number, firstStart, HOSTS.size()), Ticker.system(), new SimpleMeterRegistry());
+        }
+    }
 }
