Connect a host that is out of contact to the members that its peers report

Cause: a host that lost its disk knows only its seeds. A seed answers its request to join with the name of the leader, but the peer network has no link to a leader that is neither a seed nor a member of the own log, so that the request fails ("not a known peer"), four times a second, for as long as this host leads. The group stays at four voters, and two more lost disks take the majority for good.

Fix: while a host is out of contact with the group it asks its peers for the members of the log, with the status call that entry hosts use already, and connects to them as well. Any hop of a redirect is then a peer.

Ruled out as the cause of the reproduction: a host that loses what it has stored (the log line names a new replica with an empty log, and the request to join that fails); a majority that is larger for a moment (no change of the members is in progress).

--- a/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/replica/ReplicaEventLog.java
+++ b/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/replica/ReplicaEventLog.java
@@ -35,7 +35,7 @@
     private final Ticker ticker;
     private final Map<String, Decision> lastDecisions = new HashMap<>();
     private Membership lastMembership = Membership.NONE;
-    private boolean lastCommitted;
+    private boolean lastCommitted = true;
     private LogStatus.Role lastRole = LogStatus.Role.JOINING;
     private Optional<HostId> lastLeader = Optional.empty();
 
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobHost.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobHost.java
@@ -135,7 +135,7 @@
                 System::currentTimeMillis);
         JobHost host =
                 new JobHost(settings, log, JobClassService.of(sharedState, classes), engine, service, classes, closer);
-        host.registerHandlers(network);
+        host.registerHandlers(network, ticker);
         engine.start();
         return host;
     }
@@ -163,7 +163,7 @@
                 .withVoterPolicy(ReplicaSettings.VoterPolicy.automatic(settings.voters(), mayFormGroup));
     }
 
-    private void registerHandlers(TcpPeerNetwork network) {
+    private void registerHandlers(TcpPeerNetwork network, Ticker ticker) {
         network.onCall(
                 PeerChannel.JOBS,
                 (from, request) -> CompletableFuture.completedFuture(request)
@@ -171,11 +171,11 @@
                         .thenCompose(service::answer)
                         .thenApply(JobCallCodec::pack));
         network.onCall(PeerChannel.STATUS, (from, request) -> CompletableFuture.completedFuture(status().pack()));
-        PeerDirectory peers = new PeerDirectory(network, settings.peerPort());
-        Runnable update = () -> peers.update(settings.seeds().get(), status().members());
-        update.run();
+        PeerDirectory directory = new PeerDirectory(network, settings.peerPort());
+        ReplicaPeers peers = new ReplicaPeers(network, directory, settings.seeds(), log::status, ticker);
+        peers.update();
         ScheduledExecutorService timer = ThreadPools.timer("peer-directory", 1, closer);
-        closer.register(PeriodicTask.start(timer, PEER_UPDATE_INTERVAL_MILLIS, "peer-directory", update));
+        closer.register(PeriodicTask.start(timer, PEER_UPDATE_INTERVAL_MILLIS, "peer-directory", peers::update));
         InterferenceSharing sharing = new InterferenceSharing(network, engine);
         sharing.register();
         closer.register(
