Ignore members and classes in the status of a host that joins

What callers saw: an entry host that asked a host which was joining dropped its links to all members that are no seeds, with the calls in flight, and was not ready until the next status.

JobGatewayTests$StatusOfAHostThatJoins failed before (peers: the seed only) and passes now.

--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobGateway.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobGateway.java
@@ -132,8 +132,11 @@
         }
         statusKnown = true;
         statusNanos = ticker.nanos();
-        hasJobClasses = status.hasJobClasses();
-        members = status.members();
+        // A host that has just started to join knows the leader before it knows the members and the job classes.
+        hasJobClasses |= status.hasJobClasses();
+        if (!status.members().isEmpty()) {
+            members = status.members();
+        }
         updateLeader(status.leader().get(), "status of " + from);
     }
 
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/ReplicaPeers.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/ReplicaPeers.java
@@ -85,7 +85,7 @@
         }
     }
 
-    private void connect() {
+    private synchronized void connect() {
         Set<HostId> members = new LinkedHashSet<>();
         log.get().members().forEach(member -> members.add(member.host()));
         reportedMembers.values().forEach(members::addAll);
--- a/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/jobs/JobGatewayTests.java
+++ b/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/jobs/JobGatewayTests.java
@@ -22,7 +22,9 @@
 import java.util.Queue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -106,10 +108,54 @@
         }
     }
 
-    /** Fails calls about jobs with the given kinds, in order. */
+    @Nested
+    class StatusOfAHostThatJoins {
+        private static final HostId MEMBER = HostId.of("10.0.0.2");
+
+        @BeforeEach
+        void receiveStatusOfAMember() throws InterruptedException {
+            network.report(new HostStatus(Optional.of(MEMBER), List.of(SEED, MEMBER), true));
+            awaitAnother(2);
+            assertThat(network.connectedPeers()).containsExactly(SEED, MEMBER);
+        }
+
+        @Test
+        void neitherDisconnectsMembersNorEndsReadiness() throws InterruptedException {
+            network.report(new HostStatus(Optional.of(MEMBER), List.of(), false));
+            awaitAnother(2);
+            assertThat(network.connectedPeers()).containsExactly(SEED, MEMBER);
+            assertThat(gateway.ready()).isTrue();
+        }
+
+        private void awaitAnother(int statusCalls) throws InterruptedException {
+            int target = network.statusCalls() + statusCalls;
+            long endNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(15);
+            while (network.statusCalls() < target) {
+                assertThat(System.nanoTime() - endNanos).isLessThan(0L);
+                TimeUnit.MILLISECONDS.sleep(10);
+            }
+        }
+    }
+
+    /** Fails calls about jobs with the given kinds, in order, and answers all others with a status. */
     private static final class ScriptedNetwork implements PeerNetwork {
         private final Queue<ErrorKind> failures = new ArrayDeque<>();
         private Optional<ErrorKind> always = Optional.empty();
+        private HostStatus status = new HostStatus(Optional.of(SEED), List.of(SEED), true);
+        private int statusCalls;
+        private List<HostId> connectedPeers = List.of();
+
+        synchronized void report(HostStatus next) {
+            status = next;
+        }
+
+        synchronized int statusCalls() {
+            return statusCalls;
+        }
+
+        synchronized List<HostId> connectedPeers() {
+            return connectedPeers;
+        }
 
         synchronized void fail(ErrorKind kind) {
             failures.add(kind);
@@ -123,7 +169,8 @@
         public synchronized CompletableFuture<byte[]> call(
                 HostId to, PeerChannel channel, byte[] request, Deadline deadline) {
             if (channel != PeerChannel.JOBS) {
-                return CompletableFuture.completedFuture(new HostStatus(Optional.of(SEED), List.of(SEED), true).pack());
+                statusCalls++;
+                return CompletableFuture.completedFuture(status.pack());
             }
             ErrorKind kind = failures.isEmpty() ? always.orElseThrow() : failures.remove();
             return CompletableFuture.failedFuture(
@@ -145,7 +192,9 @@
         public void onCall(PeerChannel channel, CallHandler handler) {}
 
         @Override
-        public void setPeers(Collection<PeerAddress> peers) {}
+        public synchronized void setPeers(Collection<PeerAddress> peers) {
+            connectedPeers = peers.stream().map(PeerAddress::host).toList();
+        }
 
         @Override
         public List<PeerStatus> peers() {
