Keep a link to the leader that the own log does not name

Cause: a host counted as in contact once it heard a heartbeat, and then took its peers from its own log alone. Hearing a leader is no proof that it can be answered.

Fix: the leader is always a peer, and reports are kept until the host is in contact with a leader that its own log names.

The earlier test could not see this, since it asked only whether a leader is known; it now needs a change that is committed through the host.

--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/ReplicaPeers.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/ReplicaPeers.java
@@ -20,9 +20,10 @@
 /**
  * Keeps a host with a replica of the log connected to its seeds and to the members of the log.
  *
- * <p>The log of a host that lost its disk, or that was out of contact for long, doesn't name the current members. While
- * a host is out of contact with the group, it therefore also connects to the members that its peers report; otherwise
- * it could not reach a leader that is neither a seed nor a member in its own log.
+ * <p>The log of a host that lost its disk, or that was out of contact for long, doesn't name the current members. Until
+ * such a host is in contact with a leader that its own log names, it therefore also connects to the leader that it
+ * hears from and to the members that its peers report; otherwise it could neither reach nor answer a leader that is
+ * neither a seed nor a member in its own log.
  */
 final class ReplicaPeers {
     private static final Logger LOG = Logger.getLogger(ReplicaPeers.class);
@@ -33,8 +34,8 @@
     private final Supplier<List<HostId>> seeds;
     private final Supplier<LogStatus> log;
     private final Ticker ticker;
-    /** The members that each peer reported since the last contact with the group. */
-    private final Map<HostId, List<HostId>> reportedMembers = new ConcurrentHashMap<>();
+    /** The members, and the leader, that each peer reported since the last contact with the group. */
+    private final Map<HostId, Set<HostId>> reportedMembers = new ConcurrentHashMap<>();
 
     ReplicaPeers(
             PeerNetwork network,
@@ -51,7 +52,7 @@
 
     /** Updates the peers. Asks them for the members if this host is out of contact with the group. */
     void update() {
-        if (log.get().majorityInReach()) {
+        if (canAnswerLeader(log.get())) {
             reportedMembers.clear();
         } else {
             network.peers().forEach(peer -> askForMembers(peer.host()));
@@ -59,6 +60,19 @@
         connect();
     }
 
+    /**
+     * Returns whether this host is in contact with a leader that its own log names. Before, it hears from a leader that
+     * it may not be able to answer.
+     */
+    private static boolean canAnswerLeader(LogStatus status) {
+        return status.majorityInReach()
+                && hosts(status).contains(status.leader().orElseThrow());
+    }
+
+    private static List<HostId> hosts(LogStatus status) {
+        return status.members().stream().map(LogStatus.Member::host).toList();
+    }
+
     private void askForMembers(HostId peer) {
         Deadline deadline = Deadline.after(STATUS_TIMEOUT, ticker);
         CompletableFuture<HostStatus> unused = network.call(peer, PeerChannel.STATUS, new byte[0], deadline)
@@ -68,14 +82,16 @@
 
     private void handleAnswer(HostId peer, HostStatus status, Throwable failure) {
         if (failure == null) {
-            recordMembers(peer, status.members());
+            Set<HostId> members = new LinkedHashSet<>(status.members());
+            status.leader().ifPresent(members::add);
+            recordMembers(peer, members);
         } else {
             // The peer is asked again with the next update.
             LOG.debugf(failure, "%s does not report the members", peer);
         }
     }
 
-    private void recordMembers(HostId peer, List<HostId> members) {
+    private void recordMembers(HostId peer, Set<HostId> members) {
         if (!members.isEmpty() && !members.equals(reportedMembers.put(peer, members))) {
             Event.of("members-reported")
                     .with("from", peer)
@@ -86,8 +102,9 @@
     }
 
     private synchronized void connect() {
-        Set<HostId> members = new LinkedHashSet<>();
-        log.get().members().forEach(member -> members.add(member.host()));
+        LogStatus status = log.get();
+        Set<HostId> members = new LinkedHashSet<>(hosts(status));
+        status.leader().ifPresent(members::add);
         reportedMembers.values().forEach(members::addAll);
         directory.update(seeds.get(), members);
     }
--- a/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/jobs/JobHostTests.java
+++ b/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/jobs/JobHostTests.java
@@ -2,9 +2,11 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import dev.waxwinghead.daemon.classes.JobClassDocument;
 import dev.waxwinghead.model.id.DataCentreId;
 import dev.waxwinghead.model.id.HostId;
 import dev.waxwinghead.model.lifecycle.Closer;
+import dev.waxwinghead.model.time.Deadline;
 import dev.waxwinghead.model.time.Ticker;
 import dev.waxwinghead.scheduling.job.SchedulerTimes;
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
@@ -15,9 +17,11 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
-import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
@@ -148,58 +152,88 @@
     }
 
     @Nested
-    class LostDisk {
-        /** The shortest time in which the users expect a host that lost its disk to be back. */
+    class LeaderThatIsNoSeed {
+        /** The shortest time in which the users expect a host to be back. */
         private static final Duration CATCH_UP = Duration.ofSeconds(6);
 
-        private final List<JobHost> hosts = new ArrayList<>();
+        private final Map<HostId, JobHost> running = new HashMap<>();
 
-        @BeforeEach
-        void startAllHosts() throws InterruptedException {
-            for (int i = 0; i < HOSTS.size(); i++) {
-                hosts.add(closer.register(startOfFive(i, true)));
+        @Test
+        void isFoundByAHostThatLostItsDisk() throws Exception {
+            startAll(HOSTS);
+            letAHostLeadThatIsNoSeed();
+            stop(SEEDS.get(0));
+            emptyDisk(SEEDS.get(0));
+            startAgain(SEEDS.get(0));
+            assertTakesPart(SEEDS.get(0));
+        }
+
+        @Test
+        void isFoundByAMemberWhoseLogDoesNotNameIt() throws Exception {
+            startAll(SEEDS);
+            stop(SEEDS.get(2));
+            startAll(HOSTS.subList(SEEDS.size(), HOSTS.size()));
+            letAHostLeadThatIsNoSeed();
+            startAgain(SEEDS.get(2));
+            assertTakesPart(SEEDS.get(2));
+        }
+
+        private void startAll(List<HostId> hosts) throws InterruptedException {
+            for (HostId host : hosts) {
+                running.put(host, closer.register(startOfFive(host, true)));
             }
-            for (JobHost host : hosts) {
-                assertThat(findsLeader(host)).isTrue();
+            for (HostId host : hosts) {
+                assertThat(findsLeader(running.get(host))).isTrue();
             }
         }
 
-        @Test
-        void hostJoinsAgainWhileTheLeaderIsNoSeed() throws Exception {
-            HostId leader = letAHostLeadThatIsNoSeed();
-            JobHost rejoined = restartWithEmptyDisk(0);
-            assertThat(findsLeader(rejoined, CATCH_UP)).isTrue();
-            assertThat(rejoined.leader()).hasValue(leader);
+        private void stop(HostId host) {
+            running.remove(host).close();
+        }
+
+        private void emptyDisk(HostId host) throws IOException {
+            try (Stream<Path> files = Files.list(folder.resolve(host.value()))) {
+                for (Path file : files.toList()) {
+                    Files.delete(file);
+                }
+            }
+        }
+
+        private void startAgain(HostId host) {
+            running.put(host, closer.register(startOfFive(host, false)));
+        }
+
+        private JobHost startOfFive(HostId host, boolean firstStart) {
+            JobHostSettings settings = settings(HOSTS.indexOf(host), firstStart, HOSTS.size());
+            return JobHost.start(settings, Ticker.system(), new SimpleMeterRegistry());
         }
 
-        private HostId letAHostLeadThatIsNoSeed() throws InterruptedException {
-            JobHost observer = hosts.get(HOSTS.size() - 1);
+        private void letAHostLeadThatIsNoSeed() throws InterruptedException {
+            JobHost observer = running.get(HOSTS.get(HOSTS.size() - 1));
             assertThat(findsLeader(observer)).isTrue();
             while (SEEDS.contains(observer.leader().orElseThrow())) {
                 HostId resigning = observer.leader().orElseThrow();
-                hosts.get(HOSTS.indexOf(resigning)).handOver();
+                running.get(resigning).handOver();
                 while (observer.leader().equals(Optional.of(resigning))) {
                     TimeUnit.MILLISECONDS.sleep(5);
                 }
                 assertThat(findsLeader(observer)).isTrue();
             }
-            return observer.leader().orElseThrow();
         }
 
-        private JobHost restartWithEmptyDisk(int number) throws IOException {
-            hosts.get(number).close();
-            try (Stream<Path> files =
-                    Files.list(folder.resolve(HOSTS.get(number).value()))) {
-                for (Path file : files.toList()) {
-                    Files.delete(file);
-                }
+        /** Asserts that a change through a host is committed, for which the host must receive and answer messages. */
+        private void assertTakesPart(HostId host) throws Exception {
+            JobClassDocument document = new JobClassDocument(1, Set.of(), List.of(), "digest", new byte[] {1});
+            long endNanos = System.nanoTime() + CATCH_UP.toNanos();
+            boolean replaced = false;
+            while (!replaced && System.nanoTime() - endNanos < 0) {
+                replaced = running.get(host)
+                        .classes()
+                        .replace(document, Deadline.after(Duration.ofSeconds(1), Ticker.system()))
+                        .handle((result, failure) -> failure == null)
+                        .get();
             }
-            return closer.register(startOfFive(number, false));
-        }
-
-        private JobHost startOfFive(int number, boolean firstStart) {
-            return JobHost.start(
-                    settings(number, firstStart, HOSTS.size()), Ticker.system(), new SimpleMeterRegistry());
+            assertThat(replaced).isTrue();
         }
     }
 }
