Read oversized request bodies to the end before answering them

Cause: the readers of bodies stopped one byte past the limit. The JDK's server discards 64 KiB more and then closes the connection with the rest unread, for which the kernel sends a reset. It fails the client's next write, or drops the answer that the client has received but not read.

The rest of such a body is now read into one small buffer and dropped before the answer, for at most 64 MiB and 10 s plus the time of one read. A client within these bounds is answered on a connection without unread bytes, which is not reset. Beyond them the connection is closed as before.

--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/callers/CallRequest.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/callers/CallRequest.java
@@ -3,6 +3,7 @@
 import com.sun.net.httpserver.Headers;
 import com.sun.net.httpserver.HttpExchange;
 import dev.waxwinghead.daemon.http.JsonExchange;
+import dev.waxwinghead.daemon.http.RequestBodies;
 import dev.waxwinghead.model.error.ErrorKind;
 import dev.waxwinghead.model.error.WaxwingheadException;
 import dev.waxwinghead.model.id.RequestKey;
@@ -63,7 +64,7 @@
         checkMethod();
         checkKey();
         this.headers = HeaderRules.toUpstream(requestHeaders);
-        this.body = readBody(exchange);
+        this.body = RequestBodies.read(exchange, JsonExchange.MAX_BODY_BYTES, "split it into smaller requests");
     }
 
     /**
@@ -164,17 +165,6 @@
         }
     }
 
-    private static byte[] readBody(HttpExchange exchange) throws IOException {
-        byte[] bytes = exchange.getRequestBody().readNBytes(JsonExchange.MAX_BODY_BYTES + 1);
-        if (bytes.length > JsonExchange.MAX_BODY_BYTES) {
-            throw WaxwingheadException.of(
-                    ErrorKind.TOO_LARGE,
-                    "the body has more than " + JsonExchange.MAX_BODY_BYTES + " bytes",
-                    "split it into smaller requests");
-        }
-        return bytes;
-    }
-
     private static WaxwingheadException invalid(String message, String remedy) {
         return WaxwingheadException.of(ErrorKind.INVALID_INPUT, message, remedy);
     }
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/http/JsonExchange.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/http/JsonExchange.java
@@ -6,7 +6,6 @@
 import dev.waxwinghead.model.error.WaxwingheadException;
 import dev.waxwinghead.model.manifest.Manifests;
 import java.io.IOException;
-import java.io.InputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -31,16 +30,8 @@
      * @throws WaxwingheadException if the body is too large
      */
     public static String readText(HttpExchange exchange) throws IOException {
-        try (InputStream body = exchange.getRequestBody()) {
-            byte[] bytes = body.readNBytes(MAX_BODY_BYTES + 1);
-            if (bytes.length > MAX_BODY_BYTES) {
-                throw WaxwingheadException.of(
-                        ErrorKind.TOO_LARGE,
-                        "the body has more than " + MAX_BODY_BYTES + " bytes",
-                        "split it into smaller requests");
-            }
-            return new String(bytes, StandardCharsets.UTF_8);
-        }
+        byte[] body = RequestBodies.read(exchange, MAX_BODY_BYTES, "split it into smaller requests");
+        return new String(body, StandardCharsets.UTF_8);
     }
 
     /**
