Bound the pending handshakes of a peer port apart from its connections

With 64 entry hosts connected, a member of the log could not connect to another one: the limit of 64 connections, meant for threads of clients that never complete a handshake, counted all connections. After a restart of all core hosts of a larger deployment no leader could be elected. The refusal had no log line.

Fix: 64 pending handshakes, which last at most the silence timeout; a host has one connection after its handshake, and 2,048 bound them all. A refusal is logged.

--- a/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/tcp/Listener.java
+++ b/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/tcp/Listener.java
@@ -12,11 +12,15 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executor;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /** Accepts and serves the connections of peers. */
 final class Listener implements AutoCloseable {
-    /** The maximum number of connections, to limit the threads that unauthenticated clients can occupy. */
-    private static final int MAX_CONNECTIONS = 64;
+    /** The maximum number of connections without a handshake, to limit the threads that other clients can occupy. */
+    private static final int MAX_PENDING_HANDSHAKES = 64;
+
+    /** The maximum number of connections; a host has at most one after its handshake. */
+    private static final int MAX_CONNECTIONS = 2048;
 
     private final TcpPeerSettings settings;
     private final Handshake handshake;
@@ -27,6 +31,7 @@
     private final Ticker ticker;
     private final ServerSocket server = new ServerSocket();
     private final Set<FrameConnection> connections = ConcurrentHashMap.newKeySet();
+    private final AtomicInteger pendingHandshakes = new AtomicInteger();
     private final Map<HostId, Inbox> inboxes = new ConcurrentHashMap<>();
 
     Listener(
@@ -73,16 +78,20 @@
     }
 
     private void accept(Socket socket) throws IOException {
-        if (connections.size() >= MAX_CONNECTIONS) {
+        if (pendingHandshakes.get() >= MAX_PENDING_HANDSHAKES || connections.size() >= MAX_CONNECTIONS) {
             counters.countRefusedHandshake();
+            stateLogger.logIfChanged(
+                    "connections over the limit", "refused, the first from " + socket.getInetAddress());
             socket.close();
             return;
         }
         FrameConnection connection = FrameConnection.of(socket, settings.silenceTimeout(), counters, ticker);
         connections.add(connection);
+        pendingHandshakes.incrementAndGet();
         try {
             executor.execute(() -> serve(connection));
         } catch (RuntimeException | Error e) {
+            pendingHandshakes.decrementAndGet();
             remove(connection);
             throw e;
         }
@@ -90,7 +99,7 @@
 
     private void serve(FrameConnection connection) {
         try {
-            Frame.Hello hello = handshake.accept(connection);
+            Frame.Hello hello = acceptHandshake(connection);
             Inbox inbox = inboxes.computeIfAbsent(hello.host(), host -> new Inbox());
             stateLogger.logIfChanged("connections from " + hello.host(), "accepted");
             new IncomingConnection(hello, connection, inbox, handlers, settings, counters, stateLogger).serve(executor);
@@ -109,6 +118,14 @@
         }
     }
 
+    private Frame.Hello acceptHandshake(FrameConnection connection) throws IOException {
+        try {
+            return handshake.accept(connection);
+        } finally {
+            pendingHandshakes.decrementAndGet();
+        }
+    }
+
     private void remove(FrameConnection connection) {
         connection.close();
         connections.remove(connection);
