Ask any peer to join if the known leader is no peer

A replica that hears a leader asks only that leader to join. If the leader is no peer, each request fails, and the replica never asks a host that it can reach. Found by the model of lost disks: five hosts, a new one with outdated seeds stays out for good.

Fix: a leader is asked only if it is a peer; otherwise the peers are asked in turn.

--- a/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/replica/Joiner.java
+++ b/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/replica/Joiner.java
@@ -164,16 +164,14 @@
     }
 
     private Optional<HostId> joinTarget() {
-        Optional<HostId> knownLeader = core.leaderHost().or(() -> leaderHint);
+        List<HostId> peers =
+                network.peers().stream().map(PeerNetwork.PeerStatus::host).toList();
+        Optional<HostId> knownLeader = core.leaderHost().or(() -> leaderHint).filter(peers::contains);
         leaderHint = Optional.empty();
-        if (knownLeader.isPresent() && !knownLeader.get().equals(settings.host())) {
+        if (knownLeader.isPresent() || peers.isEmpty()) {
             return knownLeader;
         }
-        List<PeerNetwork.PeerStatus> peers = network.peers();
-        if (peers.isEmpty()) {
-            return Optional.empty();
-        }
-        return Optional.of(peers.get(nextPeer++ % peers.size()).host());
+        return Optional.of(peers.get(nextPeer++ % peers.size()));
     }
 
     private void handleJoinAnswer(HostId asked, LogClientAnswer answer, WaxwingheadException failure) {
