Connect a host that is out of contact to the hosts that send it messages

The other members have both in their logs and send to them, but get no answer.

Fix: a replica remembers for 5 s which hosts sent it consensus messages, at most as many as a group has members. Until it can answer its leader they are peers as well. Only hosts with a replica send such messages.

--- a/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/consensus/Membership.java
+++ b/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/consensus/Membership.java
@@ -20,7 +20,7 @@
     static final int MAX_REMOVED = 512;
 
     /** The maximum number of members of a group. */
-    static final int MAX_MEMBERS = 64;
+    public static final int MAX_MEMBERS = 64;
 
     /** The membership of a replica that doesn't belong to a group yet. */
     public static final Membership NONE = new Membership(0, List.of(), List.of());
--- a/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/replica/ReplicaLoop.java
+++ b/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/replica/ReplicaLoop.java
@@ -12,6 +12,7 @@
 import dev.waxwinghead.model.error.WaxwingheadException;
 import dev.waxwinghead.model.id.HostId;
 import dev.waxwinghead.model.time.Ticker;
+import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
@@ -48,6 +49,7 @@
     private final Applier applier;
     private final RequestTracker requestTracker;
     private final ReplicaEventLog eventLog;
+    private final RecentSenders senders;
     private final Joiner joiner;
     private final Thread thread;
     private volatile boolean running = true;
@@ -81,6 +83,7 @@
         this.applier = new Applier(machine, settings, this::storeSnapshot, this::fail);
         LogClient logClient = new LogClient(network, this);
         this.requestTracker = new RequestTracker(settings, core, applier, logClient, ticker);
+        this.senders = new RecentSenders(ticker);
         this.eventLog = new ReplicaEventLog(settings.host(), counters, ticker);
         core.onElections(eventLog);
         this.joiner = new Joiner(settings, storage.replicaId(), core, network, logClient, eventLog, ticker);
@@ -103,6 +106,10 @@
         return view;
     }
 
+    List<HostId> recentSenders() {
+        return senders.hosts();
+    }
+
     long appliedIndex() {
         return applier.appliedIndex();
     }
@@ -262,6 +269,7 @@
     }
 
     private void receive(HostId from, byte[] bytes) {
+        senders.record(from);
         if (events.size() > MAX_QUEUED_EVENTS) {
             counters.droppedMessages.increment();
             return;
--- a/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/replica/ReplicaNode.java
+++ b/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/replica/ReplicaNode.java
@@ -12,6 +12,7 @@
 import dev.waxwinghead.model.id.ReplicaId;
 import dev.waxwinghead.model.time.Deadline;
 import dev.waxwinghead.model.time.Ticker;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -113,6 +114,16 @@
                 view.members());
     }
 
+    /**
+     * Returns the hosts that sent consensus messages to this replica within the last 5 seconds. They may include hosts
+     * that are neither peers of this host nor members in its log, but have this host in theirs.
+     *
+     * @return the hosts, never null
+     */
+    public List<HostId> recentSenders() {
+        return loop.recentSenders();
+    }
+
     /**
      * Returns the counters of the replica.
      *
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobHost.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobHost.java
@@ -172,7 +172,8 @@
                         .thenApply(JobCallCodec::pack));
         network.onCall(PeerChannel.STATUS, (from, request) -> CompletableFuture.completedFuture(status().pack()));
         PeerDirectory directory = new PeerDirectory(network, settings.peerPort());
-        ReplicaPeers peers = new ReplicaPeers(network, directory, settings.seeds(), log::status, ticker);
+        ReplicaPeers peers =
+                new ReplicaPeers(network, directory, settings.seeds(), log::status, log::recentSenders, ticker);
         peers.update();
         ScheduledExecutorService timer = ThreadPools.timer("peer-directory", 1, closer);
         closer.register(PeriodicTask.start(timer, PEER_UPDATE_INTERVAL_MILLIS, "peer-directory", peers::update));
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/ReplicaPeers.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/ReplicaPeers.java
@@ -22,8 +22,8 @@
  *
  * <p>The log of a host that lost its disk, or that was out of contact for long, doesn't name the current members. Until
  * such a host is in contact with a leader that its own log names, it therefore also connects to the leader that it
- * hears from and to the members that its peers report; otherwise it could neither reach nor answer a leader that is
- * neither a seed nor a member in its own log.
+ * hears from, to all hosts that send it consensus messages and to the members that its peers report; otherwise it could
+ * neither reach nor answer a leader that is neither a seed nor a member in its own log.
  */
 final class ReplicaPeers {
     private static final Logger LOG = Logger.getLogger(ReplicaPeers.class);
@@ -33,6 +33,7 @@
     private final PeerDirectory directory;
     private final Supplier<List<HostId>> seeds;
     private final Supplier<LogStatus> log;
+    private final Supplier<List<HostId>> recentSenders;
     private final Ticker ticker;
     /** The members, and the leader, that each peer reported since the last contact with the group. */
     private final Map<HostId, Set<HostId>> reportedMembers = new ConcurrentHashMap<>();
@@ -42,11 +43,13 @@
             PeerDirectory directory,
             Supplier<List<HostId>> seeds,
             Supplier<LogStatus> log,
+            Supplier<List<HostId>> recentSenders,
             Ticker ticker) {
         this.network = network;
         this.directory = directory;
         this.seeds = seeds;
         this.log = log;
+        this.recentSenders = recentSenders;
         this.ticker = ticker;
     }
 
@@ -105,6 +108,9 @@
         LogStatus status = log.get();
         Set<HostId> members = new LinkedHashSet<>(hosts(status));
         status.leader().ifPresent(members::add);
+        if (!canAnswerLeader(status)) {
+            members.addAll(recentSenders.get());
+        }
         reportedMembers.values().forEach(members::addAll);
         directory.update(seeds.get(), members);
     }
--- a/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/jobs/ReplicaPeersTests.java
+++ b/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/jobs/ReplicaPeersTests.java
@@ -26,8 +26,9 @@
 
     private final FakeNetwork network = new FakeNetwork();
     private LogStatus log = status(Optional.empty(), List.of());
+    private List<HostId> senders = List.of();
     private final ReplicaPeers peers = new ReplicaPeers(
-            network, new PeerDirectory(network, 7000), () -> List.of(SEED), () -> log, Ticker.system());
+            network, new PeerDirectory(network, 7000), () -> List.of(SEED), () -> log, () -> senders, Ticker.system());
 
     private static LogStatus status(Optional<HostId> leader, List<LogStatus.Member> members) {
         return new LogStatus(
@@ -56,6 +57,20 @@
         assertThat(network.hosts()).contains(LEADER);
     }
 
+    /** All seeds lost their disks, and the other members still have them in their logs. */
+    @Test
+    void membersThatSendMessagesBecomePeersUntilALeaderCanBeAnswered() {
+        HostId sender = HostId.of("10.0.0.5");
+        senders = List.of(sender);
+        peers.update();
+        assertThat(network.hosts()).contains(sender);
+        log = status(
+                Optional.of(SEED),
+                List.of(new LogStatus.Member(SEED, ReplicaId.of("replica-1"), "10.0.0.1:7000", true)));
+        peers.update();
+        assertThat(network.hosts()).containsExactly(SEED);
+    }
+
     /** Answers a status call at a peer with the leader and all members, and fails it at other hosts. */
     private static final class FakeNetwork implements PeerNetwork {
         private List<PeerAddress> current = List.of();
