Shorten the time during which a replaced voter counts for the majority

What callers saw: no leader for good after losses that the users allow. A host is replaced under another address, the leader restarts 2.5 s later, and two disks are lost 4 s after that: the replaced voter still votes, and three of six voters are gone.

Cause: a voter was replaced after 3 s without an answer, counted anew by each leader, and the surplus voter was removed with the next round, up to 250 ms later.

A voter that is away for longer than 1.5 s while a learner could vote becomes a learner more often; it keeps its log and is first in line when a vote is free.

--- a/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/consensus/MembershipChanges.java
+++ b/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/consensus/MembershipChanges.java
@@ -9,8 +9,11 @@
 
 /** Changes the membership of the group, one member at a time. */
 final class MembershipChanges {
-    /** The time without a response after which a voter may be replaced; longer than an election takes. */
-    private static final long VOTER_MAX_UNRESPONSIVE_NANOS = TimeUnit.SECONDS.toNanos(3);
+    /**
+     * The time without a response after which a voter may be replaced. It begins anew with each leader, so that the
+     * replacement takes up to twice as long if the leader changes meanwhile.
+     */
+    private static final long VOTER_MAX_UNRESPONSIVE_NANOS = TimeUnit.MILLISECONDS.toNanos(1500);
 
     /** The time without a response after which a learner is removed from the group. */
     private static final long LEARNER_MAX_UNRESPONSIVE_NANOS = TimeUnit.SECONDS.toNanos(60);
--- a/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/replica/Joiner.java
+++ b/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/replica/Joiner.java
@@ -69,6 +69,7 @@
     }
 
     void tick(long now) {
+        removeSurplusVoter();
         if (now - roundDeadline < 0) {
             return;
         }
@@ -87,6 +88,14 @@
         }
     }
 
+    /** Removes a surplus voter without waiting for the next round, since it raises the majority for no use. */
+    private void removeSurplusVoter() {
+        ReplicaSettings.VoterPolicy policy = settings.voterPolicy();
+        if (policy.automatic() && core.membership().voters().size() > policy.targetVoters()) {
+            core.balanceVoters(policy.targetVoters());
+        }
+    }
+
     private boolean isDesiredMember() {
         Optional<Member> currentMember = core.membership().member(desiredMember.replica());
         if (settings.voterPolicy().automatic()) {
--- a/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/tcp/Listener.java
+++ b/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/tcp/Listener.java
@@ -80,8 +80,7 @@
     private void accept(Socket socket) throws IOException {
         if (pendingHandshakes.get() >= MAX_PENDING_HANDSHAKES || connections.size() >= MAX_CONNECTIONS) {
             counters.countRefusedHandshake();
-            stateLogger.logIfChanged(
-                    "connections over the limit", "refused, the first from " + socket.getInetAddress());
+            stateLogger.logIfChanged("connections over the limit", "refused");
             socket.close();
             return;
         }
