Test placement on workers whose capacity shrinks

Placement keeps it: below, at and after the new capacity, beside tasks that are being stopped or not listed yet, and after a restart.

--- a/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobFixtures.java
+++ b/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobFixtures.java
@@ -109,12 +109,32 @@
             boolean leaving,
             List<WorkerReport.RunningTask> running,
             List<WorkerReport.EndedRun> ended) {
+        return report(incarnation, sequence, address, Resources.of(4000, 100_000, 0), leaving, running, ended);
+    }
+
+    static WorkerReport report(
+            WorkerIncarnation incarnation,
+            long sequence,
+            Resources capacity,
+            List<WorkerReport.RunningTask> running,
+            List<WorkerReport.EndedRun> ended) {
+        return report(incarnation, sequence, "10.0.0.1:802", capacity, false, running, ended);
+    }
+
+    private static WorkerReport report(
+            WorkerIncarnation incarnation,
+            long sequence,
+            String address,
+            Resources capacity,
+            boolean leaving,
+            List<WorkerReport.RunningTask> running,
+            List<WorkerReport.EndedRun> ended) {
         return new WorkerReport(
                 incarnation,
                 sequence,
                 ServiceName.of("orders"),
                 address,
-                Resources.of(4000, 100_000, 0),
+                capacity,
                 Set.of("a", "rack-1"),
                 "rack-1",
                 leaving,
--- a/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobSchedulerTests.java
+++ b/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobSchedulerTests.java
@@ -6,6 +6,7 @@
 import dev.waxwinghead.model.id.JobId;
 import dev.waxwinghead.model.id.ServiceName;
 import dev.waxwinghead.model.id.WorkerId;
+import dev.waxwinghead.model.resource.Resources;
 import dev.waxwinghead.scheduling.health.QuarantineControl;
 import dev.waxwinghead.scheduling.interference.PairEstimate;
 import dev.waxwinghead.scheduling.job.WorkerReport.EndedRun;
@@ -426,6 +427,137 @@
         }
     }
 
+    /** Guards against starts that bring a worker over the smaller capacity that it reports while it runs. */
+    @Nested
+    class WorkersWhoseCapacityShrinks {
+        private static final Resources HALF = Resources.of(2000, 100_000, 0);
+
+        @Test
+        void getNoTasksWhileTheyRunMoreThanTheirCapacity() {
+            accept("j1", JobFixtures.step(4, List.of()));
+            startAll(W1);
+            report(HALF, List.of(runningTask(0), runningTask(1), runningTask(2), runningTask(3)));
+            accept("j2", JobFixtures.step(1, List.of()));
+            commit(plan());
+            assertThat(runsOf("j2")).isEmpty();
+            report(HALF, List.of(runningTask(0), runningTask(1), runningTask(2)), completed(1, 3));
+            commit(plan());
+            commit(plan());
+            assertThat(runsOf("j2")).isEmpty();
+            report(HALF, List.of(runningTask(0), runningTask(1)), completed(2, 2));
+            commit(plan());
+            commit(plan());
+            assertThat(runsOf("j2")).isEmpty();
+            report(HALF, List.of(runningTask(0)), completed(3, 1));
+            commit(plan());
+            commit(plan());
+            assertThat(runsOf("j2")).hasSize(1);
+        }
+
+        @Test
+        void getNoTasksWhileTheyRunAsMuchAsTheirCapacity() {
+            accept("j1", JobFixtures.step(2, List.of()));
+            startAll(W1);
+            report(HALF, List.of(runningTask(0), runningTask(1)));
+            accept("j2", JobFixtures.step(1, List.of()));
+            commit(plan());
+            assertThat(runsOf("j2")).isEmpty();
+        }
+
+        @Test
+        void getNoTasksThatNeedMoreMemoryThanIsLeft() {
+            accept("j1", JobFixtures.step(2, List.of()));
+            startAll(W1);
+            report(Resources.of(4000, 2999, 0), List.of(runningTask(0), runningTask(1)));
+            accept("j2", JobFixtures.step(1, List.of(), true, true, 0));
+            commit(plan());
+            assertThat(runsOf("j2")).isEmpty();
+        }
+
+        @Test
+        void keepLastingTasksWaitingUntilTheirCapacityGrows() {
+            accept("j1", JobFixtures.step(2, List.of()));
+            startAll(W1);
+            report(HALF, List.of(runningTask(0), runningTask(1)));
+            accept("s1", JobFixtures.step(1, List.of(), true, false, 100));
+            commit(plan());
+            now += TimeUnit.SECONDS.toNanos(5);
+            report(HALF, List.of(runningTask(0), runningTask(1)));
+            commit(plan());
+            assertThat(runsOf("s1")).isEmpty();
+            assertThat(waits).contains("s1 NO_CAPACITY");
+            report(Resources.of(3000, 100_000, 0), List.of(runningTask(0), runningTask(1)));
+            commit(plan());
+            assertThat(runsOf("s1")).hasSize(1);
+        }
+
+        @Test
+        void getNoTasksInPlaceOfThoseThatAreBeingStopped() {
+            accept("j1", JobFixtures.step(4, List.of()));
+            startAll(W1);
+            table.apply(++index, new JobCommand.Cancel(JobId.of("j1")));
+            report(HALF, List.of(runningTask(0), runningTask(1), runningTask(2), runningTask(3)));
+            accept("j2", JobFixtures.step(1, List.of()));
+            commit(plan());
+            report(HALF, List.of(runningTask(0), runningTask(1)));
+            commit(plan());
+            assertThat(runsOf("j2")).isEmpty();
+        }
+
+        @Test
+        void getNoTasksInPlaceOfStartsThatTheyMayStillObey() {
+            accept("j1", JobFixtures.step(2, List.of()));
+            startAll(W1);
+            assertThat(report(W1).starts()).hasSize(2);
+            report(HALF, List.of());
+            accept("j2", JobFixtures.step(1, List.of()));
+            commit(plan());
+            assertThat(runsOf("j2")).isEmpty();
+        }
+
+        @Test
+        void getOnlyTasksThatFitAfterARestart() {
+            accept("j1", JobFixtures.step(4, List.of()));
+            startAll(W1);
+            report(W1, running("j1", 0, 1, 10));
+            WorkerIncarnation restarted = JobFixtures.incarnation("w1", 2);
+            scheduler.report(JobFixtures.report(restarted, 1, HALF, List.of(), List.of()), now);
+            commit(plan());
+            commit(plan());
+            commit(plan());
+            assertThat(table.runsOn(W1)).isEmpty();
+            assertThat(table.runsOn(restarted)).hasSize(2);
+        }
+
+        private WorkerInstructions report(Resources capacity, List<RunningTask> running, EndedRun... ended) {
+            return scheduler
+                    .report(JobFixtures.report(W1, ++sequence, capacity, running, List.of(ended)), now)
+                    .orElseThrow();
+        }
+
+        private WorkerInstructions report(WorkerIncarnation worker) {
+            return JobSchedulerTests.this.report(worker);
+        }
+
+        private WorkerInstructions report(WorkerIncarnation worker, RunningTask running) {
+            return JobSchedulerTests.this.report(worker, running);
+        }
+
+        private List<RunKey> runsOf(String job) {
+            return table.runsOn(W1).stream()
+                    .filter(run -> run.task().job().equals(JobId.of(job)))
+                    .toList();
+        }
+
+        private static RunningTask runningTask(int task) {
+            return running("j1", task, 1, 10);
+        }
+
+        private static EndedRun completed(long number, int task) {
+            return ended(number, "j1", task, 1, ReportedEnd.COMPLETED);
+        }
+    }
+
     /** Guards against a gang without a place that keeps all jobs behind it waiting. */
     @Nested
     class GangsWithoutAPlace {
