--- a/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobSchedulerTests.java
+++ b/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobSchedulerTests.java
@@ -529,6 +529,54 @@
             assertThat(table.runsOn(restarted)).hasSize(2);
         }
 
+        @Test
+        void getOnlyTheCommittedStartsThatFit() {
+            accept("j1", JobFixtures.step(4, List.of()));
+            startAll(W1);
+            assertThat(report(HALF, List.of()).starts()).hasSize(2);
+        }
+
+        @Test
+        void getOnlyTheStartsThatFitIfTheyWereCommittedAfterTheReport() {
+            accept("j1", JobFixtures.step(4, List.of()));
+            report(W1);
+            List<JobTransition> plan = plan();
+            ReportReceipt receipt = scheduler
+                    .receive(JobFixtures.report(W1, ++sequence, HALF, List.of(), List.of()), now)
+                    .orElseThrow();
+            commit(plan);
+            assertThat(scheduler.answer(receipt).orElseThrow().starts()).hasSize(2);
+        }
+
+        @Test
+        void getNoCommittedStartsBesideTasksThatUseTheirCapacity() {
+            accept("j1", JobFixtures.step(4, List.of()));
+            startAll(W1);
+            WorkerInstructions answer = report(HALF, List.of(runningTask(0), runningTask(1)));
+            assertThat(answer.starts()).isEmpty();
+        }
+
+        @Test
+        void getOnlyTheRepeatedStartsThatFit() {
+            accept("j1", JobFixtures.step(4, List.of()));
+            startAll(W1);
+            assertThat(report(W1).starts()).hasSize(4);
+            now += TimeUnit.SECONDS.toNanos(4);
+            assertThat(report(HALF, List.of()).starts()).hasSize(2);
+        }
+
+        @Test
+        void leaveStartsThatWereNeverSentToOtherWorkers() {
+            accept("j1", JobFixtures.step(4, List.of()));
+            startAll(W1);
+            report(W22);
+            report(HALF, List.of());
+            commit(plan());
+            commit(plan());
+            assertThat(table.runsOn(W1)).hasSize(2);
+            assertThat(table.runsOn(W22)).hasSize(2);
+        }
+
         private WorkerInstructions report(Resources capacity, List<RunningTask> running, EndedRun... ended) {
             return scheduler
                     .report(JobFixtures.report(W1, ++sequence, capacity, running, List.of(ended)), now)
