Ask the next peer to join without a pause only if the named leader is a peer

What was seen: DiskLossTests on logs requests to join with up to 468 repetitions left out within 5 s for one asked host. A peer that names a leader which is no peer, or the asking host itself, made the replica ask the next peer at once, so that it sent one request per round trip.

Fix: the pause is skipped only for a leader that can be asked. A hint also counts if the replica hears a leader that is no peer.

--- a/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/replica/Joiner.java
+++ b/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/replica/Joiner.java
@@ -173,9 +173,9 @@
     }
 
     private Optional<HostId> joinTarget() {
-        List<HostId> peers =
-                network.peers().stream().map(PeerNetwork.PeerStatus::host).toList();
-        Optional<HostId> knownLeader = core.leaderHost().or(() -> leaderHint).filter(peers::contains);
+        List<HostId> peers = peers();
+        Optional<HostId> knownLeader =
+                core.leaderHost().filter(peers::contains).or(() -> leaderHint.filter(peers::contains));
         leaderHint = Optional.empty();
         if (knownLeader.isPresent() || peers.isEmpty()) {
             return knownLeader;
@@ -183,11 +183,15 @@
         return Optional.of(peers.get(nextPeer++ % peers.size()));
     }
 
+    private List<HostId> peers() {
+        return network.peers().stream().map(PeerNetwork.PeerStatus::host).toList();
+    }
+
     private void handleJoinAnswer(HostId asked, LogClientAnswer answer, WaxwingheadException failure) {
         eventLog.joinAnswered(asked, failure == null ? answer.toString() : failure.reason());
         if (answer instanceof NotLeader notLeader) {
             leaderHint = notLeader.leader();
-            if (leaderHint.isPresent()) {
+            if (leaderHint.filter(peers()::contains).isPresent()) {
                 roundDeadline = ticker.nanos();
             }
         } else if (answer instanceof Joined joined && joined.outcome() == MembershipOutcome.REMOVED) {
