--- a/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/replica/ReplicaEventLog.java
+++ b/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/replica/ReplicaEventLog.java
@@ -95,7 +95,7 @@
     /** Reports what a host answered to the request to join, or why there was no answer. */
     void joinAnswered(HostId asked, String answer) {
         counters.joinRequests.increment();
-        write("join", asked.value(), answer);
+        write("join", asked.value(), answer, "");
     }
 
     @Override
@@ -104,7 +104,8 @@
         List<String> granted = names(voters.stream()
                 .filter(voter -> previouslyGrantedBy.contains(voter.replica()))
                 .toList());
-        write("votes-requested", "term " + term, "voters=" + names(voters) + " previouslyGrantedBy=" + granted);
+        String outcome = "voters=" + names(voters) + " previouslyGrantedBy=" + granted;
+        write("votes-requested", self.value(), outcome, " term=" + term);
     }
 
     @Override
@@ -112,10 +113,11 @@
         if (decision != VoteDecision.GRANTED) {
             counters.refusedVotes.increment();
         }
-        write(preVote ? "pre-vote" : "vote", host + " as " + candidate + " in term " + term, decision.name());
+        write(preVote ? "pre-vote" : "vote", host + " as " + candidate, decision.name(), " term=" + term);
     }
 
-    private void write(String event, String subject, String outcome) {
+    /** Logs an outcome unless the last one on the subject was the same; the details are not compared. */
+    private void write(String event, String subject, String outcome, String details) {
         if (lastDecisions.size() >= MAX_REMEMBERED_DECISIONS) {
             lastDecisions.clear();
         }
@@ -128,8 +130,8 @@
         }
         lastDecisions.put(key, new Decision(outcome, now + REPEAT_INTERVAL_NANOS));
         LOG.infof(
-                "%s: host=%s subject='%s' outcome='%s' leftOut=%d",
-                event, self, subject, outcome, last == null ? 0 : last.leftOut);
+                "%s: host=%s subject='%s' outcome='%s' leftOut=%d%s",
+                event, self, subject, outcome, last == null ? 0 : last.leftOut, details);
     }
 
     private static List<String> names(List<Member> members) {
