Demote the surplus voter that has been silent for the longest time

With one voter too many and none silent for 1.5 s, which is so for any voter after a change of the leader, the last voter in the list lost its vote: the one that had just been promoted, while the host that is gone kept its vote and the group was one loss from the incident.

Fix: of the other voters the one without a response for the longest time is demoted, at equal times the last one as before.

ReplicaCoreTests#surplusVoterThatIsGoneIsDemotedBeforeOneThatAnswers failed before ([r1, r2, r3] instead of [r1, r3, r4]) and passes.

--- a/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/consensus/MembershipChanges.java
+++ b/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/consensus/MembershipChanges.java
@@ -65,9 +65,9 @@
 
     /**
      * Proposes at most one change of the voters or learners. A caught-up learner becomes a voter if there are fewer
-     * voters than the target, or as many and one of them is unresponsive. A voter, an unresponsive one first, becomes a
-     * learner if there are more voters than the target. If neither applies, a learner that stays unresponsive is
-     * removed; the removed learner may rejoin.
+     * voters than the target, or as many and one of them is unresponsive. The voter without a response for the longest
+     * time becomes a learner if there are more voters than the target. If neither applies, a learner that stays
+     * unresponsive is removed; the removed learner may rejoin.
      */
     void balanceVoters(int target) {
         if (!state.isLeader() || !isLastChangeCommitted()) {
@@ -84,9 +84,7 @@
         if (promotable.isPresent() && (voters < target || (voters == target && unresponsiveVoter.isPresent()))) {
             propose(membership.withMember(promotable.get().withVote()));
         } else if (voters > target) {
-            unresponsiveVoter
-                    .or(() -> lastVoterExceptSelf(membership.voters()))
-                    .ifPresent(voter -> propose(membership.withMember(voter.withoutVote())));
+            surplusVoter(membership.voters()).ifPresent(voter -> propose(membership.withMember(voter.withoutVote())));
         } else {
             removeUnresponsiveLearner(membership);
         }
@@ -99,10 +97,14 @@
                 .ifPresent(member -> propose(membership.withoutMember(member.replica())));
     }
 
-    private Optional<Member> lastVoterExceptSelf(List<Member> voters) {
+    /** Returns the voter without a response for the longest time, of several the last one, but never this replica. */
+    private Optional<Member> surplusVoter(List<Member> voters) {
         return voters.stream()
                 .filter(voter -> !voter.replica().equals(state.self))
-                .reduce((first, second) -> second);
+                .reduce((first, second) ->
+                        leadership.unresponsiveNanos(first.replica()) > leadership.unresponsiveNanos(second.replica())
+                                ? first
+                                : second);
     }
 
     private boolean isUnresponsive(Member member, long maxNanos) {
--- a/waxwinghead-coordination/src/test/java/dev/waxwinghead/coordination/consensus/ReplicaCoreTests.java
+++ b/waxwinghead-coordination/src/test/java/dev/waxwinghead/coordination/consensus/ReplicaCoreTests.java
@@ -132,6 +132,20 @@
         assertThat(first.membership().isVoter(R1)).isTrue();
     }
 
+    @Test
+    void surplusVoterThatIsGoneIsDemotedBeforeOneThatAnswers() {
+        Group group = new Group(List.of("r1", "r2", "r3"));
+        group.stop("r2");
+        group.addLearner("r4");
+        group.leader().balanceVoters(4);
+        for (int i = 0; i < 5; i++) {
+            group.advanceTime(Duration.ofMillis(100));
+        }
+        assertThat(group.voters()).containsExactly("r1", "r2", "r3", "r4");
+        group.leader().balanceVoters(3);
+        assertThat(group.voters()).containsExactly("r1", "r3", "r4");
+    }
+
     @Test
     void voterThatAnswersButStoresNothingIsReplaced() {
         Group group = new Group(List.of("r1", "r2", "r3"));
