Leave workers that tolerate a disturbing image to that image

Best-effort images differ: some disturb most serving images, some none. Harmless tasks took the workers on which the disturbing ones could run.

A worker now counts for less for a best-effort task the more of the waiting best-effort work its serving tasks tolerate. While no image is known to disturb another, all workers are rated alike, so the order is as before.

--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/InterferenceControl.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/InterferenceControl.java
@@ -160,6 +160,21 @@
         return true;
     }
 
+    /**
+     * Returns whether a best-effort task is known to raise the latency of a serving image by more than a negligible
+     * amount.
+     *
+     * @param servingImage the serving image
+     * @param image the image of the best-effort task
+     * @param millicores the processor time that the best-effort task uses
+     * @param now the current time, in nanoseconds
+     */
+    boolean disturbs(String servingImage, String image, double millicores, long now) {
+        double units = millicores / MILLICORES_PER_UNIT;
+        return model.isReliable(servingImage, image, now)
+                && units * model.latencyIncrease(servingImage, image, now) > NEGLIGIBLE_RISE;
+    }
+
     /**
      * Returns the latency headroom that a worker's serving tasks would have beside another best-effort task.
      *
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TaskPlacer.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TaskPlacer.java
@@ -33,6 +33,13 @@
     /** Prefers workers that await an answer, since a start reaches other workers only after their next report. */
     private static final double AWAITS_ANSWER_WEIGHT = 0.4;
 
+    /**
+     * The weight, for best-effort tasks, of the share of the best-effort work that a worker's serving tasks tolerate;
+     * it counts against the worker as much as its used capacity, so that tasks which run anywhere leave the few workers
+     * that tolerate a disturbing image to that image.
+     */
+    private static final double TOLERANCE_WEIGHT = 1;
+
     /** The free capacity from which a worker counts as having room, in millicores: a small task. */
     private static final long MIN_ROOM_MILLICORES = 500;
 
@@ -42,6 +49,7 @@
     private final WorkerHealth<JobId, TaskKey> health;
     private final SlowWorkerDetector slowWorkers;
     private final InterferenceControl interference;
+    private final ImageTolerance tolerance;
     private final long now;
     private final Map<ServiceName, List<WorkerCapacity>> candidates = new HashMap<>();
 
@@ -49,10 +57,12 @@
             WorkerHealth<JobId, TaskKey> health,
             SlowWorkerDetector slowWorkers,
             InterferenceControl interference,
+            ImageTolerance tolerance,
             long now) {
         this.health = health;
         this.slowWorkers = slowWorkers;
         this.interference = interference;
+        this.tolerance = tolerance;
         this.now = now;
     }
 
@@ -227,7 +237,7 @@
         return candidate.unusedMillicores() >= MIN_UNUSED_SHARE * step.need().millicores();
     }
 
-    private static double score(WorkerCapacity candidate, JobStep step) {
+    private double score(WorkerCapacity candidate, JobStep step) {
         double capacity = Math.max(1, candidate.entry().report().capacity().millicores());
         double locality = !step.dataRack().isEmpty()
                         && step.dataRack().equals(candidate.entry().report().rack())
@@ -235,7 +245,10 @@
                 : 0;
         double promptness = candidate.entry().awaitsAnswer() ? AWAITS_ANSWER_WEIGHT : 0;
         if (step.bestEffort()) {
-            return locality + promptness + candidate.unusedMillicores() / capacity;
+            return locality
+                    + promptness
+                    + candidate.unusedMillicores() / capacity
+                    - TOLERANCE_WEIGHT * tolerance.share(candidate.servingImages());
         }
         if (step.serves()) {
             return locality
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TransitionPlanner.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TransitionPlanner.java
@@ -265,7 +265,8 @@
 
     /** Returns a placer with the capacity of all workers, including that of the runs that are ending. */
     private TaskPlacer placer(long now, Set<RunKey> ending) {
-        TaskPlacer placer = new TaskPlacer(state.health(), state.slowWorkers(), state.interference(), now);
+        ImageTolerance tolerance = ImageTolerance.of(state.table(), state.interference(), now);
+        TaskPlacer placer = new TaskPlacer(state.health(), state.slowWorkers(), state.interference(), tolerance, now);
         for (WorkerEntry entry : state.workers().entries()) {
             state.health().review(entry.id(), now);
             if (acceptsTasks(entry, now)) {
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/WorkerCapacity.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/WorkerCapacity.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /** Tracks the free capacity of a worker within one scheduling round. */
 final class WorkerCapacity {
@@ -53,6 +54,11 @@
         return servingTasks == 0 ? 0 : (double) servingTasksByImage.getOrDefault(image, 0) / servingTasks;
     }
 
+    /** Returns the images of the worker's serving tasks. */
+    Set<String> servingImages() {
+        return servingTasksByImage.keySet();
+    }
+
     int finiteTasks() {
         return finiteTasks;
     }
