Record the learned interference in the log

The estimates were sent to the other replicas as messages and kept in memory, so they were lost when all hosts lost power, and best-effort tasks disturbed serving tasks until the pairs were learned again.

--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobEngine.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobEngine.java
@@ -224,10 +224,12 @@
         }
     }
 
-    /** Adopts what the acting host has learned about the interference between images. */
+    /** Adopts what was recorded about the interference between images, unless this host acts and has recorded it. */
     void adoptInterference(List<PairEstimate> estimates) {
         synchronized (table) {
-            scheduler.adoptInterference(estimates, ticker.nanos());
+            if (!acting()) {
+                scheduler.adoptInterference(estimates, ticker.nanos());
+            }
         }
     }
 
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobHost.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobHost.java
@@ -98,6 +98,7 @@
     private static JobHost compose(JobHostSettings settings, Ticker ticker, MeterRegistry meters, Closer closer) {
         JobSection jobs = new JobSection();
         JobClassSection classes = JobClassSection.create();
+        InterferenceSection interference = new InterferenceSection();
         Path folder = settings.dataFolder().orElseThrow();
         DiskWait disk = new DiskWait(settings.self(), folder);
         boolean mayFormGroup = disk.untilWritten(() -> BootstrapMark.writeIfFirstStart(folder, settings.firstStart()));
@@ -106,7 +107,7 @@
         TcpPeerNetwork network = closer.register(PeerNetworkFactory.open(settings, ticker));
         ReplicaNode log = closer.register(ReplicaNode.start(
                 replicaSettings(settings, mayFormGroup),
-                SectionedStateMachine.of(List.of(jobs, classes)),
+                SectionedStateMachine.of(List.of(jobs, classes, interference)),
                 storage,
                 network,
                 ticker));
@@ -125,6 +126,13 @@
         meters.gauge("waxwinghead.job.workers.quarantined", engine, JobEngine::quarantinedWorkers);
         meters.gauge("waxwinghead.job.room.unlisted.millicores", engine, JobEngine::unlistedMillicores);
         jobs.onChange(engine::wake);
+        interference.onChange(engine::adoptInterference);
+        InterferenceRecorder recorder = new InterferenceRecorder(engine, sharedState, interference, ticker);
+        closer.register(PeriodicTask.start(
+                ThreadPools.timer("interference-recorder", 1, closer),
+                InterferenceRecorder.INTERVAL_MILLIS,
+                "interference-recorder",
+                recorder::record));
         JobService service = new JobService(
                 sharedState,
                 classes,
@@ -177,10 +185,6 @@
         peers.update();
         ScheduledExecutorService timer = ThreadPools.timer("peer-directory", 1, closer);
         closer.register(PeriodicTask.start(timer, PEER_UPDATE_INTERVAL_MILLIS, "peer-directory", peers::update));
-        InterferenceSharing sharing = new InterferenceSharing(network, engine);
-        sharing.register();
-        closer.register(
-                PeriodicTask.start(timer, InterferenceSharing.INTERVAL_MILLIS, "interference-sharing", sharing::send));
     }
 
     private HostStatus status() {
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/state/SectionId.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/state/SectionId.java
@@ -11,7 +11,9 @@
     /** Jobs that callers submit. */
     JOBS(4),
     /** The classes of submitted jobs. */
-    JOB_CLASSES(5);
+    JOB_CLASSES(5),
+    /** What was learned about the interference between images. */
+    INTERFERENCE(6);
 
     private final int code;
 
