Reject commands of an earlier epoch when they are applied

A host that was paused or has lost the leadership may forward a command to the next leader. InEpoch applies a command only in the epoch in which its request was received, as Advance does for plans.

--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobCodec.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobCodec.java
@@ -28,6 +28,7 @@
     private static final int ACCEPT = 2;
     private static final int CANCEL = 3;
     private static final int ADVANCE = 4;
+    private static final int IN_EPOCH = 16;
     private static final int STARTED = 1;
     private static final int ENDED = 2;
     private static final int FORGOTTEN = 3;
@@ -115,6 +116,9 @@
         } else if (command instanceof JobCommand.Advance advance) {
             packer.packInt(ADVANCE);
             packAdvance(packer, advance);
+        } else if (command instanceof JobCommand.InEpoch guarded) {
+            packer.packInt(IN_EPOCH).packLong(guarded.epoch());
+            packCommand(packer, guarded.command());
         }
     }
 
@@ -125,6 +129,7 @@
             case ACCEPT -> unpackAccept(unpacker);
             case CANCEL -> new JobCommand.Cancel(JobId.of(unpacker.unpackString()));
             case ADVANCE -> unpackAdvance(unpacker);
+            case IN_EPOCH -> new JobCommand.InEpoch(unpacker.unpackLong(), unpackCommand(unpacker));
             default -> throw new IOException("unknown command type " + type);
         };
     }
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/JobCommand.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/JobCommand.java
@@ -45,4 +45,13 @@
             transitions = List.copyOf(transitions);
         }
     }
+
+    /**
+     * Applies a command if the epoch is that of the acting scheduler. A command that reaches the log late, through a
+     * host that was paused or has lost the leadership, has no effect once another scheduler has taken over.
+     *
+     * @param epoch the epoch of the scheduler that received the request for the command
+     * @param command the command to apply, itself not an {@code InEpoch}
+     */
+    record InEpoch(long epoch, JobCommand command) implements JobCommand {}
 }
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/JobTable.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/JobTable.java
@@ -64,6 +64,9 @@
         if (command instanceof JobCommand.Cancel cancel) {
             return cancel(cancel.job());
         }
+        if (command instanceof JobCommand.InEpoch guarded) {
+            return guarded.epoch() == epoch ? apply(index, guarded.command()) : JobOutcome.STALE_EPOCH;
+        }
         return advance((JobCommand.Advance) command);
     }
 
