Retry calls about jobs until the caller's time is over

JobGateway gave up 0.25 s after the first failure, so that an election was answered as unknown. Calls now wait for the next acting scheduler, in the order of arrival and within a limit, and are sent a few at a time. An attempt names the epoch that it is meant for and has no effect in another one, so that a later scheduler's refusal holds for all attempts before.

--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/HostStatus.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/HostStatus.java
@@ -4,6 +4,7 @@
 import dev.waxwinghead.model.id.HostId;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 /**
  * Describes the replicated log to an entry host without a replica.
@@ -11,8 +12,9 @@
  * @param leader the leader of the log, or empty if unknown
  * @param members the hosts with a replica of the log
  * @param hasJobClasses whether a document of job classes is in force
+ * @param epoch the epoch in which the described host itself acts as the scheduler, or empty if it does not act
  */
-record HostStatus(Optional<HostId> leader, List<HostId> members, boolean hasJobClasses) {
+record HostStatus(Optional<HostId> leader, List<HostId> members, boolean hasJobClasses, OptionalLong epoch) {
     HostStatus {
         members = List.copyOf(members);
     }
@@ -22,6 +24,9 @@
             MessagePackCodec.optional(packer, leader.orElse(null));
             MessagePackCodec.list(packer, members, (out, host) -> out.packString(host.value()));
             packer.packBoolean(hasJobClasses);
+            if (epoch.isPresent()) {
+                packer.packLong(epoch.getAsLong());
+            }
         });
     }
 
@@ -31,6 +36,7 @@
                 unpacker -> new HostStatus(
                         Optional.ofNullable(MessagePackCodec.optional(unpacker)).map(HostId::of),
                         MessagePackCodec.list(unpacker, in -> HostId.of(in.unpackString())),
-                        unpacker.unpackBoolean()));
+                        unpacker.unpackBoolean(),
+                        unpacker.hasNext() ? OptionalLong.of(unpacker.unpackLong()) : OptionalLong.empty()));
     }
 }
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobCallCodec.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobCallCodec.java
@@ -1,12 +1,15 @@
 package dev.waxwinghead.daemon.jobs;
 
 import dev.waxwinghead.daemon.codec.MessagePackCodec;
+import dev.waxwinghead.model.error.ErrorKind;
 import dev.waxwinghead.model.id.HostId;
 import dev.waxwinghead.model.id.JobId;
 import dev.waxwinghead.scheduling.job.JobState;
 import dev.waxwinghead.scheduling.job.JobSubmission;
 import java.io.IOException;
+import java.util.Arrays;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.msgpack.core.MessageUnpacker;
 
 /** Encodes calls about jobs and their answers as MessagePack. */
@@ -19,6 +22,8 @@
     private static final int ABSENT = 3;
     private static final int QUEUED = 4;
     private static final int NOT_ACTING = 5;
+    private static final int OTHER_EPOCH = 6;
+    private static final int REFUSED = 7;
 
     /** Placeholder for the id of a submitted job, which the receiver derives from the target of the call. */
     private static final JobId UNRESOLVED = JobId.of("unresolved");
@@ -36,8 +41,21 @@
         });
     }
 
-    static JobCall unpackCall(byte[] bytes) {
-        return MessagePackCodec.unpack(bytes, JobCallCodec::unpackCall);
+    /** Returns the encoding of an attempt: the packed call, followed by the epoch. */
+    static byte[] attempt(byte[] packedCall, long epoch) {
+        byte[] suffix = MessagePackCodec.pack(packer -> packer.packLong(epoch));
+        byte[] attempt = Arrays.copyOf(packedCall, packedCall.length + suffix.length);
+        System.arraycopy(suffix, 0, attempt, packedCall.length, suffix.length);
+        return attempt;
+    }
+
+    static JobAttempt unpackAttempt(byte[] bytes) {
+        return MessagePackCodec.unpack(bytes, unpacker -> {
+            JobCall call = unpackCall(unpacker);
+            // Attempts of entry hosts of earlier versions end here.
+            OptionalLong epoch = unpacker.hasNext() ? OptionalLong.of(unpacker.unpackLong()) : OptionalLong.empty();
+            return new JobAttempt(call, epoch);
+        });
     }
 
     static byte[] pack(JobAnswer answer) {
@@ -53,6 +71,11 @@
             } else if (answer instanceof JobAnswer.NotActing notActing) {
                 packer.packInt(NOT_ACTING);
                 MessagePackCodec.optional(packer, notActing.leader().orElse(null));
+            } else if (answer instanceof JobAnswer.OtherEpoch other) {
+                packer.packInt(OTHER_EPOCH).packLong(other.epoch());
+            } else if (answer instanceof JobAnswer.Refused refused) {
+                packer.packInt(REFUSED).packString(refused.kind().code());
+                packer.packString(refused.reason()).packString(refused.remedy());
             }
         });
     }
@@ -68,6 +91,12 @@
                 case NOT_ACTING ->
                     new JobAnswer.NotActing(Optional.ofNullable(MessagePackCodec.optional(unpacker))
                             .map(HostId::of));
+                case OTHER_EPOCH -> new JobAnswer.OtherEpoch(unpacker.unpackLong());
+                case REFUSED ->
+                    new JobAnswer.Refused(
+                            ErrorKind.ofCode(unpacker.unpackString()),
+                            unpacker.unpackString(),
+                            unpacker.unpackString());
                 default -> throw new IOException("unknown answer type " + type);
             };
         });
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobEngine.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobEngine.java
@@ -137,9 +137,14 @@
 
     /** Returns whether this host acts as the scheduler now. */
     boolean acting() {
+        return actingEpoch().isPresent();
+    }
+
+    /** Returns the epoch in which this host acts as the scheduler now, empty if it does not act. */
+    OptionalLong actingEpoch() {
         synchronized (table) {
             OptionalLong term = authority.term();
-            return term.isPresent() && current(term);
+            return term.isPresent() && current(term) ? OptionalLong.of(ownEpoch) : OptionalLong.empty();
         }
     }
 
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobGateway.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobGateway.java
@@ -2,7 +2,6 @@
 
 import dev.waxwinghead.coordination.peer.PeerChannel;
 import dev.waxwinghead.coordination.peer.PeerNetwork;
-import dev.waxwinghead.daemon.log.Event;
 import dev.waxwinghead.daemon.part.PeriodicTask;
 import dev.waxwinghead.daemon.part.ThreadPools;
 import dev.waxwinghead.model.error.ErrorKind;
@@ -11,61 +10,98 @@
 import dev.waxwinghead.model.lifecycle.Closer;
 import dev.waxwinghead.model.time.Deadline;
 import dev.waxwinghead.model.time.Ticker;
+import io.micrometer.core.instrument.MeterRegistry;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.Future;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicBoolean;
 
 /**
  * Routes calls about jobs from an entry host without a replica of the log to the host that acts as the scheduler.
  *
- * <p>All calls are idempotent, so a call without an answer is retried at another host until the routing timeout.
+ * <p>All calls are idempotent, so a call without an answer is sent again, to the next acting scheduler if there is one,
+ * until it is answered or its caller's time is over. While no scheduler is known, calls wait in the order of their
+ * arrival; then they are sent a few at a time.
+ *
+ * <p>An attempt that changes state names the epoch of the scheduler that it is sent to and has no effect in another
+ * one. The refusal of a later scheduler therefore holds for all attempts before.
  */
 public final class JobGateway implements AutoCloseable {
-    /** The time that a call spends on finding the acting scheduler: a fraction of the shortest latency objective. */
-    private static final Duration ROUTING_TIMEOUT = Duration.ofMillis(250);
+    /** The maximum number of calls without an answer; each takes up to 30 KB of the heap of 96 MB. */
+    static final int MAX_OPEN_CALLS = 1000;
+
+    /** The maximum size of all requests without an answer, in bytes; each is held encoded and decoded. */
+    static final long MAX_OPEN_BYTES = 8L * 1024 * 1024;
+
+    /**
+     * The number of waiting calls that are sent at the same time once a scheduler is known. 40 entry hosts send 640,
+     * which fill a few of the log's batches.
+     */
+    static final int MAX_PACED_ATTEMPTS = 16;
+
+    /**
+     * The time that an answer takes on a busy host: two message exchanges, two disk syncs and the wait for a processor.
+     * A call that has not run is not sent again with less time left, since its outcome would probably be unknown.
+     */
+    static final Duration ANSWER_TIME = Duration.ofMillis(100);
 
     /** The time limit for the answer of one host: several times a commit on a healthy disk. */
-    private static final Duration ATTEMPT_TIMEOUT = Duration.ofMillis(900);
+    static final Duration ATTEMPT_TIMEOUT = Duration.ofMillis(900);
 
-    private static final long RETRY_DELAY_MILLIS = 25;
+    /** The time between a failed attempt and the next one of the same call. */
+    private static final long RETRY_DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
 
-    private static final long STATUS_INTERVAL_MILLIS = 500;
+    /** The time without an answer after which other hosts are asked whether they act; an answer rarely takes longer. */
+    private static final long SILENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
 
-    private static final Duration STATUS_TIMEOUT = Duration.ofMillis(400);
+    /** The interval at which waiting calls are checked; they are refused late by at most this. */
+    private static final long CHECK_INTERVAL_MILLIS = 20;
 
-    /** The age of the latest log status up to which this host is ready; spans several failed status calls. */
-    private static final long MAX_STATUS_AGE_NANOS = TimeUnit.MILLISECONDS.toNanos(2500);
+    private static final long STATUS_INTERVAL_MILLIS = 500;
 
-    private final JobHostSettings settings;
     private final PeerNetwork network;
-    private final PeerDirectory directory;
     private final Ticker ticker;
     private final ScheduledExecutorService timer;
     private final Closer closer;
-    private final AtomicInteger nextPeer = new AtomicInteger();
-    private volatile Optional<HostId> leader = Optional.empty();
-    private volatile List<HostId> members = List.of();
-    private volatile boolean hasJobClasses;
-    private volatile boolean statusKnown;
-    private volatile long statusNanos;
+    private final SchedulerFinder finder;
+    private final GatewayEvents events;
+
+    /** The calls without an answer in the order of their arrival. Guarded by this object's monitor. */
+    private final Set<RoutedCall> open = new LinkedHashSet<>();
+
+    /** Guarded by this object's monitor. */
+    private long openBytes;
+
+    /** The number of open calls that are not sent. Guarded by this object's monitor. */
+    private int waiting;
+
+    /** The number of attempts under way of calls that had to wait. Guarded by this object's monitor. */
+    private int pacedAttempts;
+
+    private final AtomicBoolean checkRequested = new AtomicBoolean();
 
     private JobGateway(
             JobHostSettings settings,
             PeerNetwork network,
             Ticker ticker,
             ScheduledExecutorService timer,
+            MeterRegistry meters,
             Closer closer) {
-        this.settings = settings;
         this.network = network;
-        this.directory = new PeerDirectory(network, settings.peerPort());
         this.ticker = ticker;
         this.timer = timer;
         this.closer = closer;
+        this.finder = new SchedulerFinder(settings, network, ticker, this::scheduleCheck);
+        this.events = new GatewayEvents(meters);
+        meters.gauge("waxwinghead.job.gateway.open", this, JobGateway::openCalls);
+        meters.gauge("waxwinghead.job.gateway.waiting", this, JobGateway::waitingCalls);
     }
 
     /**
@@ -73,20 +109,28 @@
      *
      * @param settings the settings of this host
      * @param ticker the monotonic clock
+     * @param meters the registry for metrics
      * @return the running gateway, never null
      * @throws WaxwingheadException if the port can't be opened
      */
-    public static JobGateway start(JobHostSettings settings, Ticker ticker) {
+    public static JobGateway start(JobHostSettings settings, Ticker ticker, MeterRegistry meters) {
         Closer closer = Closer.create();
-        return start(settings, ticker, closer.register(PeerNetworkFactory.open(settings, ticker)), closer);
+        PeerNetwork network = closer.register(PeerNetworkFactory.open(settings, ticker));
+        return start(settings, ticker, network, ThreadPools.timer("job-gateway", 1, closer), meters, closer);
     }
 
-    static JobGateway start(JobHostSettings settings, Ticker ticker, PeerNetwork network, Closer closer) {
-        ScheduledExecutorService timer = ThreadPools.timer("job-gateway", 1, closer);
-        JobGateway gateway = new JobGateway(settings, network, ticker, timer, closer);
-        gateway.refreshStatus();
+    static JobGateway start(
+            JobHostSettings settings,
+            Ticker ticker,
+            PeerNetwork network,
+            ScheduledExecutorService timer,
+            MeterRegistry meters,
+            Closer closer) {
+        JobGateway gateway = new JobGateway(settings, network, ticker, timer, meters, closer);
+        gateway.finder.refresh();
         closer.register(
-                PeriodicTask.start(timer, STATUS_INTERVAL_MILLIS, "job-gateway-status", gateway::refreshStatus));
+                PeriodicTask.start(timer, STATUS_INTERVAL_MILLIS, "job-gateway-status", gateway.finder::refresh));
+        closer.register(PeriodicTask.start(timer, CHECK_INTERVAL_MILLIS, "job-gateway-calls", gateway::check));
         return gateway;
     }
 
@@ -96,165 +140,296 @@
      * @return true while a host with a replica of the log answers and job classes are in force
      */
     public boolean ready() {
-        return statusKnown && hasJobClasses && ticker.nanos() - statusNanos < MAX_STATUS_AGE_NANOS;
+        return finder.ready();
+    }
+
+    /** Returns the number of calls without an answer. */
+    synchronized int openCalls() {
+        return open.size();
+    }
+
+    /** Returns the number of calls that wait for their first or next attempt. */
+    synchronized int waitingCalls() {
+        return waiting;
     }
 
     /**
-     * Routes a call to the acting scheduler.
+     * Routes a call to the acting scheduler and sends it again until it is answered or the caller's time is over.
      *
      * @param call the call
      * @param deadline the time at which the caller stops waiting
-     * @return the answer; fails with kind {@code UNKNOWN_OUTCOME} if any attempt may have had an effect, and with
-     *     {@code UNAVAILABLE} or the kind of the scheduler's rejection if the call had no effect
+     * @return the answer; fails with kind {@code UNKNOWN_OUTCOME} if the time is over and an attempt may have had an
+     *     effect, with {@code UNAVAILABLE} if the call had no effect and waiting can't help or too many calls wait, and
+     *     with the kind of the scheduler's rejection if the call had no effect
      */
     public CompletableFuture<JobAnswer> call(JobCall call, Deadline deadline) {
-        RoutedCall routed = new RoutedCall(call, deadline, Deadline.after(ROUTING_TIMEOUT, ticker));
-        routed.send();
+        RoutedCall routed = new RoutedCall(call, deadline, ticker.nanos());
+        Optional<SchedulerEpoch> scheduler = finder.acting();
+        boolean sendNow;
+        synchronized (this) {
+            boolean full = open.size() >= MAX_OPEN_CALLS
+                    || (!open.isEmpty() && openBytes + routed.request.length > MAX_OPEN_BYTES);
+            if (full) {
+                routed.reason = "this host has " + open.size() + " calls with " + openBytes
+                        + " bytes without an answer, the limits are " + MAX_OPEN_CALLS + " and " + MAX_OPEN_BYTES;
+                events.refused(routed, GatewayEvents.Refusal.TOO_MANY_CALLS);
+                return CompletableFuture.failedFuture(noEffect(routed.reason));
+            }
+            sendNow = scheduler.isPresent() && waiting == 0;
+            open.add(routed);
+            openBytes += routed.request.length;
+            waiting++;
+            if (sendNow) {
+                begin(routed, scheduler.get(), false);
+            }
+        }
+        if (sendNow) {
+            send(routed, routed.attempts, scheduler.get());
+        } else {
+            scheduleCheck();
+        }
         return routed.result;
     }
 
-    private void refreshStatus() {
-        directory.update(settings.seeds().get(), members);
-        HostId target = chooseTarget();
-        if (target == null) {
+    /** Checks the waiting calls soon; requests up to the next check are served by that check. */
+    private void scheduleCheck() {
+        if (!checkRequested.compareAndSet(false, true)) {
+            return;
+        }
+        try {
+            timer.execute(() -> {
+                checkRequested.set(false);
+                check();
+            });
+        } catch (RejectedExecutionException e) {
+            // The gateway is closed; its calls are abandoned with the process.
             return;
         }
-        CompletableFuture<byte[]> answer =
-                network.call(target, PeerChannel.STATUS, new byte[0], Deadline.after(STATUS_TIMEOUT, ticker));
-        CompletableFuture<HostStatus> unused = answer.thenApply(HostStatus::unpack)
-                .whenComplete((status, failure) -> applyStatus(target, status, failure));
     }
 
-    private void applyStatus(HostId from, HostStatus status, Throwable failure) {
-        if (failure != null || status.leader().isEmpty()) {
-            clearLeader(from);
+    /** Ends the waiting calls that waiting can't help and sends those that can be sent. */
+    private void check() {
+        if (openCalls() == 0) {
             return;
         }
-        statusKnown = true;
-        statusNanos = ticker.nanos();
-        // A host that has just started to join knows the leader before it knows the members and the job classes.
-        hasJobClasses |= status.hasJobClasses();
-        if (!status.members().isEmpty()) {
-            members = status.members();
+        boolean reachable = finder.reachable();
+        Optional<SchedulerEpoch> scheduler = finder.acting();
+        List<Runnable> actions = new ArrayList<>();
+        boolean silent = false;
+        synchronized (this) {
+            scheduler.ifPresent(this::recallOutdated);
+            for (RoutedCall call : List.copyOf(open)) {
+                if (call.sent) {
+                    silent |= ticker.nanos() - call.sentNanos >= SILENCE_NANOS;
+                    continue;
+                }
+                if (timeOver(call)) {
+                    actions.add(giveUp(call, GatewayEvents.Refusal.TIME_OVER));
+                } else if (!reachable && !call.mayHaveRun) {
+                    call.reason = "no host with a replica of the log is reachable";
+                    actions.add(giveUp(call, GatewayEvents.Refusal.NO_HOST));
+                } else if (scheduler.isPresent() && mayBegin(call, scheduler.get())) {
+                    begin(call, scheduler.get(), true);
+                    int attempt = call.attempts;
+                    actions.add(() -> send(call, attempt, scheduler.get()));
+                }
+            }
+        }
+        actions.forEach(Runnable::run);
+        if (silent || (scheduler.isEmpty() && waitingCalls() > 0)) {
+            finder.probe();
         }
-        updateLeader(status.leader().get(), "status of " + from);
     }
 
-    private void updateLeader(HostId host, String source) {
-        if (!leader.equals(Optional.of(host))) {
-            Event.of("scheduler-found")
-                    .with("host", host)
-                    .with("source", source)
-                    .write();
-            leader = Optional.of(host);
-        }
+    /** Returns whether a further attempt of a waiting call could not be answered within the caller's time. */
+    private boolean timeOver(RoutedCall call) {
+        Duration needed = call.mayHaveRun ? Duration.ofMillis(CHECK_INTERVAL_MILLIS) : ANSWER_TIME;
+        boolean attempted = call.attempts > 0 || finder.acting().isEmpty();
+        return attempted ? call.deadline.remaining(ticker).compareTo(needed) < 0 : call.deadline.passed(ticker);
     }
 
-    private void clearLeader(HostId host) {
-        if (leader.equals(Optional.of(host))) {
-            Event.of("scheduler-lost").with("host", host).write();
-            leader = Optional.empty();
-        }
+    private boolean mayBegin(RoutedCall call, SchedulerEpoch scheduler) {
+        // A scheduler of an earlier epoch knows nothing of what a later one has accepted.
+        return pacedAttempts < MAX_PACED_ATTEMPTS
+                && ticker.nanos() - call.notBeforeNanos >= 0
+                && scheduler.epoch() >= call.epoch;
     }
 
-    /** Returns the leader if known, otherwise the next peer, connected peers first; null if there are no peers. */
-    private HostId chooseTarget() {
-        Optional<HostId> known = leader;
-        if (known.isPresent()) {
-            return known.get();
-        }
-        List<PeerNetwork.PeerStatus> peers = network.peers();
-        if (peers.isEmpty()) {
-            return null;
-        }
-        List<PeerNetwork.PeerStatus> connected =
-                peers.stream().filter(PeerNetwork.PeerStatus::connected).toList();
-        List<PeerNetwork.PeerStatus> candidates = connected.isEmpty() ? peers : connected;
-        return candidates
-                .get(Math.floorMod(nextPeer.getAndIncrement(), candidates.size()))
-                .host();
+    private void begin(RoutedCall call, SchedulerEpoch scheduler, boolean paced) {
+        call.attempts++;
+        call.epoch = scheduler.epoch();
+        call.sent = true;
+        call.sentNanos = ticker.nanos();
+        call.paced = paced;
+        waiting--;
+        pacedAttempts += paced ? 1 : 0;
     }
 
-    @Override
-    public void close() {
-        closer.close();
+    /** Ends the attempt under way, so that the call waits. */
+    private void end(RoutedCall call) {
+        call.sent = false;
+        pacedAttempts -= call.paced ? 1 : 0;
+        call.paced = false;
+        waiting++;
     }
 
-    /** A call that is sent repeatedly until it is answered or the routing timeout has passed. */
-    private final class RoutedCall {
-        private final byte[] request;
-        private final boolean changes;
-        private final Deadline deadline;
-        private final Deadline routingDeadline;
-        private final CompletableFuture<JobAnswer> result = new CompletableFuture<>();
-        private volatile boolean mayHaveRun;
-
-        RoutedCall(JobCall call, Deadline deadline, Deadline routingDeadline) {
-            this.request = JobCallCodec.pack(call);
-            this.changes = call.changes();
-            this.deadline = deadline;
-            this.routingDeadline = routingDeadline;
+    /** Makes calls wait for their next attempt whose latest attempt was sent to a scheduler that was replaced. */
+    private void recallOutdated(SchedulerEpoch scheduler) {
+        for (RoutedCall call : open) {
+            if (call.sent && call.epoch < scheduler.epoch()) {
+                call.markUncertain();
+                call.reason = "the scheduler that received it was replaced";
+                end(call);
+            }
         }
+    }
 
-        void send() {
-            HostId target = chooseTarget();
-            if (target == null) {
-                retry("no host with a replica of the log is known");
-                return;
-            }
-            Deadline limit = deadline.earlier(Deadline.after(ATTEMPT_TIMEOUT, ticker));
-            CompletableFuture<byte[]> answer = network.call(target, PeerChannel.JOBS, request, limit);
-            CompletableFuture<JobAnswer> unused = answer.thenApply(JobCallCodec::unpackAnswer)
-                    .whenComplete((decoded, failure) -> handleAnswer(target, decoded, failure));
+    private void send(RoutedCall call, int attempt, SchedulerEpoch scheduler) {
+        HostId target = scheduler.host();
+        byte[] request = JobCallCodec.attempt(call.request, scheduler.epoch());
+        Deadline limit = call.deadline.earlier(Deadline.after(ATTEMPT_TIMEOUT, ticker));
+        CompletableFuture<byte[]> sent;
+        try {
+            sent = network.call(target, PeerChannel.JOBS, request, limit);
+        } catch (WaxwingheadException e) {
+            sent = CompletableFuture.failedFuture(e);
         }
+        CompletableFuture<JobAnswer> unused = sent.thenApply(JobCallCodec::unpackAnswer)
+                .whenComplete((answer, failure) -> {
+                    if (failure == null) {
+                        receive(call, attempt, target, answer);
+                    } else {
+                        fail(call, attempt, target, WaxwingheadException.from(failure));
+                    }
+                });
+    }
 
-        private void handleAnswer(HostId target, JobAnswer answer, Throwable failure) {
-            if (failure != null) {
-                handleFailure(target, WaxwingheadException.from(failure));
-            } else if (answer instanceof JobAnswer.NotActing notActing) {
-                redirect(target, notActing);
-            } else {
-                updateLeader(target, "answer");
-                result.complete(answer);
+    private void receive(RoutedCall call, int attempt, HostId from, JobAnswer answer) {
+        Runnable action = () -> {};
+        synchronized (this) {
+            boolean latest = call.sent && call.attempts == attempt;
+            // An acceptance is final whichever attempt it answers; other answers of outdated attempts are not.
+            if (open.contains(call) && (latest || answer instanceof JobAnswer.Accepted)) {
+                action = receiveLatest(call, from, answer);
             }
         }
+        action.run();
+        if (answer instanceof JobAnswer.NotActing notActing) {
+            finder.redirected(from, notActing.leader().filter(host -> !host.equals(from)));
+        } else if (answer instanceof JobAnswer.OtherEpoch other) {
+            finder.lost(from);
+            finder.found(from, other.epoch(), "answer");
+        }
+        scheduleCheckIfWaiting();
+    }
 
-        private void redirect(HostId target, JobAnswer.NotActing notActing) {
-            clearLeader(target);
-            notActing.leader().filter(host -> !host.equals(target)).ifPresent(host -> updateLeader(host, "redirect"));
-            retry(target + " does not act as the scheduler");
+    private Runnable receiveLatest(RoutedCall call, HostId from, JobAnswer answer) {
+        if (answer instanceof JobAnswer.NotActing) {
+            return retry(call, from + " does not act as the scheduler");
+        }
+        if (answer instanceof JobAnswer.OtherEpoch) {
+            return retry(call, from + " acts as the scheduler in another epoch");
+        }
+        if (answer instanceof JobAnswer.Refused refused) {
+            call.mayHaveRun = false;
+            boolean passing = refused.kind() == ErrorKind.UNAVAILABLE || refused.kind() == ErrorKind.NO_MAJORITY;
+            return passing
+                    ? retry(call, refused.reason())
+                    : complete(
+                            call,
+                            refused.kind().code(),
+                            () -> call.result.completeExceptionally(
+                                    WaxwingheadException.of(refused.kind(), refused.reason(), refused.remedy())));
         }
+        return complete(call, answer.toString(), () -> call.result.complete(answer));
+    }
 
-        private void handleFailure(HostId target, WaxwingheadException failure) {
-            ErrorKind kind = failure.kind();
-            boolean unknown = kind == ErrorKind.UNKNOWN_OUTCOME;
-            mayHaveRun |= unknown && changes;
-            if (unknown || kind == ErrorKind.UNAVAILABLE || kind == ErrorKind.NO_MAJORITY) {
-                clearLeader(target);
-                retry(failure.reason());
-            } else {
-                result.completeExceptionally(mayHaveRun ? unknownOutcome(failure.reason()) : failure);
+    private void fail(RoutedCall call, int attempt, HostId from, WaxwingheadException failure) {
+        ErrorKind kind = failure.kind();
+        boolean noAnswer =
+                kind == ErrorKind.UNKNOWN_OUTCOME || kind == ErrorKind.UNAVAILABLE || kind == ErrorKind.NO_MAJORITY;
+        Runnable action = () -> {};
+        boolean latest;
+        synchronized (this) {
+            latest = open.contains(call) && call.sent && call.attempts == attempt;
+            if (latest) {
+                if (kind == ErrorKind.UNKNOWN_OUTCOME) {
+                    call.markUncertain();
+                }
+                // A failure that is no refusal says nothing about earlier attempts.
+                action = noAnswer || call.mayHaveRun
+                        ? retry(call, failure.reason())
+                        : complete(call, kind.code(), () -> call.result.completeExceptionally(failure));
             }
         }
+        if (latest && noAnswer) {
+            finder.lost(from);
+        }
+        action.run();
+        scheduleCheckIfWaiting();
+    }
 
-        private void retry(String reason) {
-            if (routingDeadline.passed(ticker) || deadline.passed(ticker)) {
-                result.completeExceptionally(mayHaveRun ? unknownOutcome(reason) : noEffect(reason));
-                return;
-            }
-            Future<?> unused = timer.schedule(this::send, RETRY_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+    private void scheduleCheckIfWaiting() {
+        if (waitingCalls() > 0) {
+            scheduleCheck();
         }
+    }
+
+    /** Makes a call wait for its next attempt, or ends it if its time is over. */
+    private Runnable retry(RoutedCall call, String reason) {
+        end(call);
+        call.reason = reason;
+        call.notBeforeNanos = ticker.nanos() + RETRY_DELAY_NANOS;
+        return timeOver(call) ? giveUp(call, GatewayEvents.Refusal.TIME_OVER) : () -> {};
+    }
 
-        private WaxwingheadException unknownOutcome(String reason) {
-            return WaxwingheadException.of(
-                    ErrorKind.UNKNOWN_OUTCOME,
-                    "an attempt of the call may have taken effect; last failure: " + reason,
-                    "send the call again with the same id");
+    private Runnable giveUp(RoutedCall call, GatewayEvents.Refusal refusal) {
+        remove(call);
+        if (call.mayHaveRun) {
+            return () -> {
+                events.unknown(call);
+                call.result.completeExceptionally(unknownOutcome(call.reason));
+            };
         }
+        return () -> {
+            events.refused(call, refusal);
+            call.result.completeExceptionally(noEffect(call.reason));
+        };
+    }
 
-        private WaxwingheadException noEffect(String reason) {
-            return WaxwingheadException.of(
-                    ErrorKind.UNAVAILABLE, reason, "the call had no effect; send it again in a second");
+    private Runnable complete(RoutedCall call, String outcome, Runnable completion) {
+        remove(call);
+        return () -> {
+            if (call.wasUncertain) {
+                events.resolvedAfterUnknown(call, outcome);
+            }
+            completion.run();
+        };
+    }
+
+    private void remove(RoutedCall call) {
+        if (call.sent) {
+            end(call);
         }
+        open.remove(call);
+        openBytes -= call.request.length;
+        waiting--;
+    }
+
+    private static WaxwingheadException unknownOutcome(String reason) {
+        return WaxwingheadException.of(
+                ErrorKind.UNKNOWN_OUTCOME,
+                "an attempt of the call may have taken effect; last failure: " + reason,
+                "send the call again with the same id");
+    }
+
+    private static WaxwingheadException noEffect(String reason) {
+        return WaxwingheadException.of(
+                ErrorKind.UNAVAILABLE, reason, "the call had no effect; send it again in a second");
+    }
+
+    @Override
+    public void close() {
+        closer.close();
     }
 }
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobHost.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobHost.java
@@ -129,7 +129,7 @@
                 sharedState,
                 classes,
                 jobs.table(),
-                engine,
+                engine::actingEpoch,
                 () -> leaderInContact(log.status()),
                 ticker,
                 System::currentTimeMillis);
@@ -167,7 +167,7 @@
         network.onCall(
                 PeerChannel.JOBS,
                 (from, request) -> CompletableFuture.completedFuture(request)
-                        .thenApply(JobCallCodec::unpackCall)
+                        .thenApply(JobCallCodec::unpackAttempt)
                         .thenCompose(service::answer)
                         .thenApply(JobCallCodec::pack));
         network.onCall(PeerChannel.STATUS, (from, request) -> CompletableFuture.completedFuture(status().pack()));
@@ -188,7 +188,7 @@
         List<HostId> members =
                 status.members().stream().map(LogStatus.Member::host).toList();
         return new HostStatus(
-                leaderInContact(status), members, classSection.current().isPresent());
+                leaderInContact(status), members, classSection.current().isPresent(), engine.actingEpoch());
     }
 
     /**
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobService.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobService.java
@@ -19,8 +19,11 @@
 import dev.waxwinghead.scheduling.job.JobSubmission;
 import dev.waxwinghead.scheduling.job.JobTable;
 import java.time.Duration;
+import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 
@@ -32,49 +35,102 @@
     private final SharedState sharedState;
     private final JobClassSection classes;
     private final JobTable table;
-    private final JobEngine engine;
+    private final Supplier<OptionalLong> actingEpoch;
     private final Supplier<Optional<HostId>> leader;
     private final Ticker ticker;
     private final LongSupplier epochMillis;
 
+    /** The submissions of this host that are proposed and not yet applied. */
+    private final Map<JobId, CompletableFuture<JobAnswer>> openSubmissions = new ConcurrentHashMap<>();
+
+    /**
+     * The latest epoch in which the outcome of a proposal is not known, 0 if none. The proposal may still be committed
+     * in that epoch, so that a refusal in the same epoch rules nothing out.
+     */
+    private volatile long unresolvedEpoch;
+
     JobService(
             SharedState sharedState,
             JobClassSection classes,
             JobTable table,
-            JobEngine engine,
+            Supplier<OptionalLong> actingEpoch,
             Supplier<Optional<HostId>> leader,
             Ticker ticker,
             LongSupplier epochMillis) {
         this.sharedState = sharedState;
         this.classes = classes;
         this.table = table;
-        this.engine = engine;
+        this.actingEpoch = actingEpoch;
         this.leader = leader;
         this.ticker = ticker;
         this.epochMillis = epochMillis;
     }
 
-    /** Answers a call. Fails with the kind of the error if the call itself is invalid. */
-    CompletableFuture<JobAnswer> answer(JobCall call) {
-        if (!engine.acting()) {
+    /**
+     * Answers an attempt of a call. Fails with the kind of the error if the call itself is invalid.
+     *
+     * <p>An attempt that changes state takes effect only in its own epoch. If the scheduler of that epoch refuses the
+     * call, no earlier attempt can take effect: those of earlier epochs are in the table by now or are rejected by it,
+     * and those of the same epoch came from the same entry host to this host, which handles them in order.
+     */
+    CompletableFuture<JobAnswer> answer(JobAttempt attempt) {
+        JobCall call = attempt.call();
+        OptionalLong acting = actingEpoch.get();
+        if (acting.isEmpty()) {
             return CompletableFuture.completedFuture(new JobAnswer.NotActing(leader.get()));
         }
+        long epoch = acting.getAsLong();
+        if (call.changes() && attempt.epoch().isPresent() && attempt.epoch().getAsLong() != epoch) {
+            return CompletableFuture.completedFuture(new JobAnswer.OtherEpoch(epoch));
+        }
         try {
             ResolvedTarget resolved = resolve(call.target());
             if (call instanceof JobCall.Submit submit) {
-                return submit(submit, resolved);
+                return refusable(attempt, epoch, () -> submit(submit, resolved, epoch));
             }
-            return call instanceof JobCall.Read ? read(resolved) : cancel(resolved);
+            return call instanceof JobCall.Read
+                    ? read(resolved)
+                    : refusable(attempt, epoch, () -> cancel(resolved, epoch));
         } catch (WaxwingheadException e) {
-            Event.of("job-call-refused")
-                    .with("path", call.target().path())
-                    .with("kind", e.kind())
-                    .with("message", e.getMessage())
-                    .write();
+            logRefused(call, e);
             return CompletableFuture.failedFuture(e);
         }
     }
 
+    /** Runs a change. A failure that rules out every effect of the call is returned as a refusal. */
+    private CompletableFuture<JobAnswer> refusable(
+            JobAttempt attempt, long epoch, Supplier<CompletableFuture<JobAnswer>> change) {
+        CompletableFuture<JobAnswer> answer;
+        try {
+            answer = change.get();
+        } catch (WaxwingheadException e) {
+            logRefused(attempt.call(), e);
+            answer = CompletableFuture.failedFuture(e);
+        }
+        return answer.exceptionallyCompose(failure -> refusal(attempt, epoch, WaxwingheadException.from(failure)));
+    }
+
+    private CompletableFuture<JobAnswer> refusal(JobAttempt attempt, long epoch, WaxwingheadException failure) {
+        // An entry host of an earlier version sends no epoch and can't read a refusal.
+        if (mayHaveRun(failure) || attempt.epoch().isEmpty() || unresolvedEpoch == epoch) {
+            return CompletableFuture.failedFuture(failure);
+        }
+        return CompletableFuture.completedFuture(
+                new JobAnswer.Refused(failure.kind(), failure.reason(), failure.remedy()));
+    }
+
+    private static boolean mayHaveRun(WaxwingheadException failure) {
+        return failure.kind() == ErrorKind.UNKNOWN_OUTCOME || failure.kind() == ErrorKind.INTERNAL;
+    }
+
+    private static void logRefused(JobCall call, WaxwingheadException failure) {
+        Event.of("job-call-refused")
+                .with("path", call.target().path())
+                .with("kind", failure.kind())
+                .with("message", failure.getMessage())
+                .write();
+    }
+
     private ResolvedTarget resolve(JobTarget target) {
         JobClassDirectory directory = classes.current()
                 .orElseThrow(() -> WaxwingheadException.of(
@@ -102,21 +158,37 @@
                 "correct the address, or have the operator add the class");
     }
 
-    private CompletableFuture<JobAnswer> submit(JobCall.Submit submit, ResolvedTarget resolved) {
+    private CompletableFuture<JobAnswer> submit(JobCall.Submit submit, ResolvedTarget resolved, long epoch) {
         JobSubmission submission =
                 new JobSubmission(JobId.of(resolved.jobIdText()), submit.payload(), submit.steps(), submit.schedule());
-        JobCommand.Accept accept =
-                new JobCommand.Accept(submission, resolved.jobClass().terms(), epochMillis.getAsLong());
+        JobId id = submission.id();
+        // A proposal leaves the open ones only after the table has applied it, so the table is searched second.
+        CompletableFuture<JobAnswer> earlier = openSubmissions.get(id);
+        if (earlier != null) {
+            return earlier.copy();
+        }
         synchronized (table) {
-            if (table.find(submission.id()).isPresent()) {
-                logAccepted(submission.id(), resolved, JobOutcome.REPEATED);
+            if (table.find(id).isPresent()) {
+                logAccepted(id, resolved, JobOutcome.REPEATED);
                 return CompletableFuture.completedFuture(new JobAnswer.Accepted());
             }
         }
-        return propose(accept).thenApply(outcome -> {
-            logAccepted(submission.id(), resolved, outcome);
-            return new JobAnswer.Accepted();
+        JobCommand.Accept accept =
+                new JobCommand.Accept(submission, resolved.jobClass().terms(), epochMillis.getAsLong());
+        CompletableFuture<JobAnswer> answer = new CompletableFuture<>();
+        openSubmissions.put(id, answer);
+        CompletableFuture<JobOutcome> unused = propose(accept, epoch).whenComplete((outcome, failure) -> {
+            openSubmissions.remove(id, answer);
+            if (failure != null) {
+                answer.completeExceptionally(failure);
+            } else if (outcome == JobOutcome.STALE_EPOCH) {
+                answer.complete(new JobAnswer.NotActing(leader.get()));
+            } else {
+                logAccepted(id, resolved, outcome);
+                answer.complete(new JobAnswer.Accepted());
+            }
         });
+        return answer.copy();
     }
 
     private static void logAccepted(JobId job, ResolvedTarget resolved, JobOutcome outcome) {
@@ -141,11 +213,11 @@
         }
     }
 
-    private CompletableFuture<JobAnswer> cancel(ResolvedTarget resolved) {
+    private CompletableFuture<JobAnswer> cancel(ResolvedTarget resolved, long epoch) {
         JobId id = JobId.of(resolved.jobIdText());
-        return propose(new JobCommand.Cancel(id)).thenApply(outcome -> {
+        return propose(new JobCommand.Cancel(id), epoch).thenApply(outcome -> {
             Event.of("job-canceled").with("job", id).with("outcome", outcome).write();
-            return canceled(id, outcome);
+            return outcome == JobOutcome.STALE_EPOCH ? new JobAnswer.NotActing(leader.get()) : canceled(id, outcome);
         });
     }
 
@@ -160,10 +232,17 @@
         }
     }
 
-    private CompletableFuture<JobOutcome> propose(JobCommand command) {
+    /** Proposes a command that takes effect in an epoch only. */
+    private CompletableFuture<JobOutcome> propose(JobCommand command, long epoch) {
+        byte[] guarded = JobCodec.pack(new JobCommand.InEpoch(epoch, command));
         return sharedState
-                .propose(SectionId.JOBS, JobCodec.pack(command), Deadline.after(COMMIT_TIMEOUT, ticker))
-                .thenApply(JobCodec::unpackOutcome);
+                .propose(SectionId.JOBS, guarded, Deadline.after(COMMIT_TIMEOUT, ticker))
+                .thenApply(JobCodec::unpackOutcome)
+                .whenComplete((outcome, failure) -> {
+                    if (failure != null && mayHaveRun(WaxwingheadException.from(failure))) {
+                        unresolvedEpoch = epoch;
+                    }
+                });
     }
 
     /**
