--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/GatewayEvents.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/GatewayEvents.java
@@ -27,7 +27,9 @@
         /** The caller's time is shorter than a further answer takes. */
         TIME_OVER,
         /** No host with a replica of the log is reachable. */
-        NO_HOST
+        NO_HOST,
+        /** A majority of the disks refuses writes. */
+        CANNOT_COMMIT
     }
 
     /** A call was answered although the outcome of an earlier attempt was not known. */
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobGateway.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobGateway.java
@@ -64,6 +64,12 @@
     /** The interval at which waiting calls are checked; they are refused late by at most this. */
     private static final long CHECK_INTERVAL_MILLIS = 20;
 
+    /**
+     * The time after which a scheduler that can't commit is not asked again. A disk that refuses writes is tried again
+     * after pauses of 100 ms to 1 s, so a call within the first pauses may still succeed.
+     */
+    private static final long STORE_RECOVERY_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
     private static final long STATUS_INTERVAL_MILLIS = 500;
 
     private final PeerNetwork network;
@@ -160,7 +166,7 @@
      * @param deadline the time at which the caller stops waiting
      * @return the answer; fails with kind {@code UNKNOWN_OUTCOME} if the time is over and an attempt may have had an
      *     effect, with {@code UNAVAILABLE} if the call had no effect and waiting can't help or too many calls wait, and
-     *     with the kind of the scheduler's rejection if the call had no effect
+     *     with the kind of the scheduler's refusal if the call had no effect
      */
     public CompletableFuture<JobAnswer> call(JobCall call, Deadline deadline) {
         RoutedCall routed = new RoutedCall(call, deadline, ticker.nanos());
@@ -325,6 +331,7 @@
 
     private Runnable receiveLatest(RoutedCall call, HostId from, JobAnswer answer) {
         if (answer instanceof JobAnswer.NotActing) {
+            call.cannotCommit = false;
             return retry(call, from + " does not act as the scheduler");
         }
         if (answer instanceof JobAnswer.OtherEpoch) {
@@ -332,18 +339,28 @@
         }
         if (answer instanceof JobAnswer.Refused refused) {
             call.mayHaveRun = false;
-            boolean passing = refused.kind() == ErrorKind.UNAVAILABLE || refused.kind() == ErrorKind.NO_MAJORITY;
-            return passing
-                    ? retry(call, refused.reason())
-                    : complete(
-                            call,
-                            refused.kind().code(),
-                            () -> call.result.completeExceptionally(
-                                    WaxwingheadException.of(refused.kind(), refused.reason(), refused.remedy())));
+            return refuse(call, refused);
         }
         return complete(call, answer.toString(), () -> call.result.complete(answer));
     }
 
+    private Runnable refuse(RoutedCall call, JobAnswer.Refused refused) {
+        if (refused.kind() != ErrorKind.NO_MAJORITY) {
+            WaxwingheadException failure = WaxwingheadException.of(refused.kind(), refused.reason(), refused.remedy());
+            return complete(call, refused.kind().code(), () -> call.result.completeExceptionally(failure));
+        }
+        long now = ticker.nanos();
+        if (!call.cannotCommit) {
+            call.cannotCommit = true;
+            call.cannotCommitSinceNanos = now;
+        }
+        if (now - call.cannotCommitSinceNanos >= STORE_RECOVERY_NANOS) {
+            call.reason = refused.reason();
+            return giveUp(call, GatewayEvents.Refusal.CANNOT_COMMIT);
+        }
+        return retry(call, refused.reason());
+    }
+
     private void fail(RoutedCall call, int attempt, HostId from, WaxwingheadException failure) {
         ErrorKind kind = failure.kind();
         boolean noAnswer =
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobService.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobService.java
@@ -115,6 +115,11 @@
         if (mayHaveRun(failure) || attempt.epoch().isEmpty() || unresolvedEpoch == epoch) {
             return CompletableFuture.failedFuture(failure);
         }
+        boolean replaced =
+                failure.kind() == ErrorKind.NO_MAJORITY && !actingEpoch.get().equals(OptionalLong.of(epoch));
+        if (replaced) {
+            return CompletableFuture.completedFuture(new JobAnswer.NotActing(leader.get()));
+        }
         return CompletableFuture.completedFuture(
                 new JobAnswer.Refused(failure.kind(), failure.reason(), failure.remedy()));
     }
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/RoutedCall.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/RoutedCall.java
@@ -35,6 +35,13 @@
     /** Whether an attempt got no answer, also if it was shown later that it has not taken effect. */
     boolean wasUncertain;
 
+    /**
+     * Whether the latest answer stated that the scheduler can't commit, and since when in nanoseconds of the ticker.
+     */
+    boolean cannotCommit;
+
+    long cannotCommitSinceNanos;
+
     /** The time before which no further attempt is made, in nanoseconds of the ticker. */
     long notBeforeNanos;
 
--- a/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/jobs/JobGatewayElectionTests.java
+++ b/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/jobs/JobGatewayElectionTests.java
@@ -342,21 +342,46 @@
             assertAccepted(answer);
         }
 
-        /** Guards against the answer "unknown" where a later leader without a majority has the outcome. */
+        /** Guards against the answer "unknown" for a call that a later leader with full disks shows not to have run. */
         @Test
-        void endTheUncertaintyAlsoIfTheLeaderCannotCommit() {
+        void ofALaterLeaderThatCannotCommitAreDefinite() {
             core.host(FIRST).losesRequests = true;
             CompletableFuture<JobAnswer> answer = submit("a1");
             advance(10);
             core.host(FIRST).stop();
             core.host(SECOND).refusesProposals = Optional.of(ErrorKind.NO_MAJORITY);
             core.elect(SECOND);
-            advance(CALLER_TIME.toMillis());
+            advance(1000);
             assertFailed(answer, ErrorKind.UNAVAILABLE);
             assertThat(core.accepted("a1")).isFalse();
         }
     }
 
+    @Nested
+    class DisksThatRefuseWrites {
+        /** Guards against a refusal where the disks accept writes again after a moment. */
+        @Test
+        void delayAnAcceptance() {
+            core.host(FIRST).refusesProposals = Optional.of(ErrorKind.NO_MAJORITY);
+            CompletableFuture<JobAnswer> answer = submit("a1");
+            advance(300);
+            core.host(FIRST).refusesProposals = Optional.empty();
+            advance(150);
+            assertAccepted(answer);
+        }
+
+        /** Guards against calls that are held until their deadlines although they can't be served. */
+        @Test
+        void leadToARefusalWithinASecond() {
+            core.host(FIRST).refusesProposals = Optional.of(ErrorKind.NO_MAJORITY);
+            CompletableFuture<JobAnswer> answer = submit("a1");
+            advance(1000);
+            assertFailed(answer, ErrorKind.UNAVAILABLE);
+            assertThat(count("waxwinghead.job.gateway.refused", "reason", "cannot-commit"))
+                    .isEqualTo(1.0);
+        }
+    }
+
     @Nested
     class BurstDuringAnElection {
         private static final int CALLS = 1000;
