--- a/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobTableTests.java
+++ b/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobTableTests.java
@@ -16,6 +16,43 @@
     private final JobTable table = JobTable.create();
     private long index;
 
+    @Nested
+    class CommandsInAnEpoch {
+        private static final HostId HOST = HostId.of("10.0.0.1");
+
+        private JobOutcome acceptIn(long epoch) {
+            return apply(new JobCommand.InEpoch(epoch, JobFixtures.accept("j1", JobFixtures.step(1, List.of()))));
+        }
+
+        @Test
+        void applyInTheirEpoch() {
+            apply(new JobCommand.Acquire(HOST));
+            assertThat(acceptIn(table.epoch())).isEqualTo(JobOutcome.APPLIED);
+            assertThat(acceptIn(table.epoch())).isEqualTo(JobOutcome.REPEATED);
+        }
+
+        /** Guards against a job that runs although a later scheduler has told its caller that it does not. */
+        @Test
+        void haveNoEffectInALaterEpoch() {
+            apply(new JobCommand.Acquire(HOST));
+            long epoch = table.epoch();
+            apply(new JobCommand.Acquire(HOST));
+            assertThat(acceptIn(epoch)).isEqualTo(JobOutcome.STALE_EPOCH);
+            assertThat(table.find(JobId.of("j1"))).isEmpty();
+        }
+
+        /** Guards against a late cancellation that marks an id, so that a later submission never runs. */
+        @Test
+        void cancelNothingInALaterEpoch() {
+            apply(new JobCommand.Acquire(HOST));
+            long epoch = table.epoch();
+            apply(new JobCommand.Acquire(HOST));
+            assertThat(apply(new JobCommand.InEpoch(epoch, new JobCommand.Cancel(JobId.of("j1")))))
+                    .isEqualTo(JobOutcome.STALE_EPOCH);
+            assertThat(table.canceledBeforeArrival()).isEmpty();
+        }
+    }
+
     @Nested
     class Accepting {
         @Test
