Keep drained data centres in the task table

A drain and its revert are commands of the log with a change id.

The table ignores starts and delegations of a drained data centre, whichever scheduler or planner proposes them. The scheduler of the data centre places nothing, and stops an attempt that was committed before the drain and that the worker does not list, instead of sending it.

--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/tasks/CommandCodec.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/tasks/CommandCodec.java
@@ -3,6 +3,7 @@
 import dev.waxwinghead.daemon.codec.MessagePackCodec;
 import dev.waxwinghead.model.error.ErrorKind;
 import dev.waxwinghead.model.error.WaxwingheadException;
+import dev.waxwinghead.model.id.ChangeId;
 import dev.waxwinghead.model.id.DataCentreId;
 import dev.waxwinghead.model.id.HostId;
 import dev.waxwinghead.model.id.JobName;
@@ -32,6 +33,7 @@
     private static final int CANCEL_JOBS = 9;
     private static final int EXPLAIN = 10;
     private static final int DRAIN_WORKER = 11;
+    private static final int SET_DRAINED = 12;
 
     private CommandCodec() {}
 
@@ -111,6 +113,9 @@
             MessagePackCodec.optional(packer, explain.reason());
         } else if (command instanceof TaskCommand.DrainWorker drain) {
             packer.packInt(DRAIN_WORKER).packString(drain.worker().value()).packLong(drain.incarnation());
+        } else if (command instanceof TaskCommand.SetDrained drain) {
+            packer.packInt(SET_DRAINED).packString(drain.change().value());
+            packer.packString(drain.dataCentre().value()).packBoolean(drain.drained());
         }
     }
 
@@ -147,6 +152,9 @@
                         key(unpacker), unpacker.unpackBoolean(), MessagePackCodec.optional(unpacker));
             case DRAIN_WORKER ->
                 new TaskCommand.DrainWorker(WorkerId.of(unpacker.unpackString()), unpacker.unpackLong());
+            case SET_DRAINED ->
+                new TaskCommand.SetDrained(
+                        ChangeId.of(unpacker.unpackString()), dataCentre(unpacker), unpacker.unpackBoolean());
             default ->
                 throw WaxwingheadException.of(
                         ErrorKind.INTERNAL,
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/tasks/ContentsCodec.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/tasks/ContentsCodec.java
@@ -1,12 +1,14 @@
 package dev.waxwinghead.daemon.tasks;
 
 import dev.waxwinghead.daemon.codec.MessagePackCodec;
+import dev.waxwinghead.model.id.ChangeId;
 import dev.waxwinghead.model.id.DataCentreId;
 import dev.waxwinghead.model.id.HostId;
 import dev.waxwinghead.model.id.TaskId;
 import dev.waxwinghead.model.id.WorkerId;
 import dev.waxwinghead.model.manifest.ManifestKey;
 import dev.waxwinghead.scheduling.task.Attempt;
+import dev.waxwinghead.scheduling.task.DrainChange;
 import dev.waxwinghead.scheduling.task.OwnerRecord;
 import dev.waxwinghead.scheduling.task.SchedulerTerm;
 import dev.waxwinghead.scheduling.task.TableContents;
@@ -40,6 +42,12 @@
                 packer.packInt(entry.getValue());
             }
             packer.packInt(contents.attemptFloor());
+            packer.packMapHeader(contents.drainedDataCentres().size());
+            for (Map.Entry<DataCentreId, Long> entry :
+                    contents.drainedDataCentres().entrySet()) {
+                packer.packString(entry.getKey().value()).packLong(entry.getValue());
+            }
+            MessagePackCodec.list(packer, contents.drainChanges(), ContentsCodec::drainChange);
         });
     }
 
@@ -57,10 +65,35 @@
             for (int remaining = unpacker.unpackMapHeader(); remaining > 0; remaining--) {
                 floors.put(CommandCodec.key(unpacker), unpacker.unpackInt());
             }
-            return new TableContents(revision, tasks, owners, schedulers, draining, floors, unpacker.unpackInt());
+            int attemptFloor = unpacker.unpackInt();
+            Map<DataCentreId, Long> drained = new LinkedHashMap<>();
+            List<DrainChange> changes = List.of();
+            // Snapshots of earlier versions end here.
+            if (unpacker.hasNext()) {
+                for (int remaining = unpacker.unpackMapHeader(); remaining > 0; remaining--) {
+                    drained.put(DataCentreId.of(unpacker.unpackString()), unpacker.unpackLong());
+                }
+                changes = MessagePackCodec.list(unpacker, ContentsCodec::drainChange);
+            }
+            return new TableContents(
+                    revision, tasks, owners, schedulers, draining, floors, attemptFloor, drained, changes);
         });
     }
 
+    private static void drainChange(MessageBufferPacker packer, DrainChange change) throws IOException {
+        packer.packString(change.change().value());
+        packer.packString(change.dataCentre().value()).packBoolean(change.drained());
+        packer.packLong(change.index());
+    }
+
+    private static DrainChange drainChange(MessageUnpacker unpacker) throws IOException {
+        return new DrainChange(
+                ChangeId.of(unpacker.unpackString()),
+                DataCentreId.of(unpacker.unpackString()),
+                unpacker.unpackBoolean(),
+                unpacker.unpackLong());
+    }
+
     private static void owner(MessageBufferPacker packer, OwnerRecord owner) throws IOException {
         CommandCodec.key(packer, owner.key());
         packer.packLong(owner.revision()).packLong(owner.templateRevision());
--- a/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/tasks/TaskSectionTests.java
+++ b/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/tasks/TaskSectionTests.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import dev.waxwinghead.model.id.ChangeId;
 import dev.waxwinghead.model.id.DataCentreId;
 import dev.waxwinghead.model.id.HostId;
 import dev.waxwinghead.model.id.JobName;
@@ -13,6 +14,7 @@
 import dev.waxwinghead.scheduling.task.TableContents;
 import dev.waxwinghead.scheduling.task.TaskCommand;
 import dev.waxwinghead.scheduling.task.Transition;
+import java.util.Arrays;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
@@ -38,6 +40,10 @@
         assertThat(actual.schedulers()).containsExactlyElementsIn(expected.schedulers());
         assertThat(actual.draining()).isEqualTo(expected.draining());
         assertThat(actual.attemptFloors()).isEqualTo(expected.attemptFloors());
+        assertThat(actual.drainedDataCentres()).isEqualTo(expected.drainedDataCentres());
+        assertThat(actual.drainChanges())
+                .containsExactlyElementsIn(expected.drainChanges())
+                .inOrder();
         assertThat(actual.configurationRevision()).isEqualTo(expected.configurationRevision());
     }
 
@@ -54,6 +60,35 @@
                 .isEqualTo(1);
     }
 
+    /** Guards against a host that forgets drains when it starts from a snapshot. */
+    @Test
+    void answersAResentDrainAlikeAfterASnapshot() {
+        TaskCommand drain = new TaskCommand.SetDrained(ChangeId.of("c1"), DATA_CENTRE, true);
+        byte[] first = section.apply(++index, CommandCodec.write(drain));
+        TaskSection restored = new TaskSection();
+
+        restored.restore(section.snapshot());
+
+        assertThat(restored.table().drained(DATA_CENTRE)).isTrue();
+        assertThat(restored.apply(++index, CommandCodec.write(drain))).isEqualTo(first);
+    }
+
+    /** Guards against a host that can't read the snapshots that earlier versions wrote. */
+    @Test
+    void restoresASnapshotThatEndsBeforeTheDrainedDataCentres() {
+        byte[] snapshot = section.snapshot();
+        byte[] earlier = Arrays.copyOf(snapshot, snapshot.length - 2);
+        byte[] emptyMapAndList = Arrays.copyOfRange(snapshot, earlier.length, snapshot.length);
+        assertThat(emptyMapAndList).isEqualTo(new byte[] {(byte) 0x80, (byte) 0x90});
+        TaskSection restored = new TaskSection();
+        restored.apply(1, CommandCodec.write(new TaskCommand.SetDrained(ChangeId.of("c1"), DATA_CENTRE, true)));
+
+        restored.restore(earlier);
+
+        assertThat(restored.table().drainedDataCentres()).isEmpty();
+        assertThat(restored.snapshot()).isEqualTo(snapshot);
+    }
+
     private void fill() {
         apply(new TaskCommand.Acquire(DATA_CENTRE, HostId.of("e1"), "127.0.0.1:1", 0, 70_000));
         long term = index;
@@ -72,6 +107,9 @@
                 2, 3, List.of(new TaskCommand.OwnerChange(manifest("passing").key(), 3, null))));
         apply(new TaskCommand.CancelJobs(List.of(JobName.of("nightly"))));
         apply(new TaskCommand.DrainWorker(WorkerId.of("w1"), 7));
+        apply(new TaskCommand.SetDrained(ChangeId.of("c1"), DataCentreId.of("dc2"), true));
+        apply(new TaskCommand.SetDrained(ChangeId.of("c2"), DataCentreId.of("dc3"), true));
+        apply(new TaskCommand.SetDrained(ChangeId.of("c3"), DataCentreId.of("dc2"), false));
         apply(new TaskCommand.Renew(DATA_CENTRE, term));
     }
 
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/task/DataCentreScheduler.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/task/DataCentreScheduler.java
@@ -197,7 +197,7 @@
 
     /**
      * Performs the periodic work: reports tasks on silent workers as lost, evicts tasks from draining workers and
-     * places waiting tasks.
+     * places waiting tasks unless the data centre is drained.
      *
      * @param now the current time
      */
@@ -210,7 +210,11 @@
         reviewWorkers(now);
         evictFromDrainingWorkers();
         queue.removeDue(now).forEach(this::refreshTask);
-        placementRound.placeWaiting(now);
+        if (table.drained(dataCentre)) {
+            placementRound.suspend();
+        } else {
+            placementRound.placeWaiting(now);
+        }
     }
 
     /**
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/task/PlacementRound.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/task/PlacementRound.java
@@ -60,6 +60,12 @@
         return Map.copyOf(refusals);
     }
 
+    /** Withdraws the reasons of the latest round; called instead of placing tasks while no task may start. */
+    void suspend() {
+        refusals.clear();
+        deferredSinceNanos.clear();
+    }
+
     void placeWaiting(long now) {
         refusals.clear();
         deferredSinceNanos.keySet().removeIf(key -> queue.firstTask(key) == null);
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/task/PollHandler.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/task/PollHandler.java
@@ -172,7 +172,10 @@
         }
     }
 
-    /** Handles a live attempt that the worker does not report. */
+    /**
+     * Handles a live attempt that the worker does not report. In a drained data centre the attempt is not started; it
+     * is stopped, and ends once the worker certainly does not run it.
+     */
     private void handleUnlistedAttempt(
             TaskRecord task, PollReport report, WorkerEntry entry, long now, List<WorkerCommand> commands) {
         Attempt attempt = task.attempt();
@@ -182,7 +185,11 @@
             return;
         }
         if (task.state() != TaskState.STOPPING) {
-            commands.add(startCommand(task, attempt));
+            if (table.drained(report.worker().dataCentre())) {
+                propose(Transition.Kind.EVICTING, task.id(), attempt.number(), null);
+            } else {
+                commands.add(startCommand(task, attempt));
+            }
             return;
         }
         if (entry.confirmMissing(task.id(), now, times.workerLeaseNanos())) {
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/task/TableContents.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/task/TableContents.java
@@ -1,5 +1,6 @@
 package dev.waxwinghead.scheduling.task;
 
+import dev.waxwinghead.model.id.DataCentreId;
 import dev.waxwinghead.model.id.WorkerId;
 import dev.waxwinghead.model.manifest.ManifestKey;
 import java.util.Collection;
@@ -18,6 +19,8 @@
  * @param draining the draining workers, with the newest incarnation to which the drain applies
  * @param attemptFloors the highest attempt numbers of recently removed owners, oldest first
  * @param attemptFloor the highest attempt number of all other removed owners
+ * @param drainedDataCentres the drained data centres, with the log index of the command that drained each
+ * @param drainChanges the latest drains and their reverts, oldest first
  * @since 0.1
  */
 public record TableContents(
@@ -27,7 +30,9 @@
         List<SchedulerTerm> schedulers,
         Map<WorkerId, Long> draining,
         Map<ManifestKey, Integer> attemptFloors,
-        int attemptFloor) {
+        int attemptFloor,
+        Map<DataCentreId, Long> drainedDataCentres,
+        List<DrainChange> drainChanges) {
     static TableContents of(
             long configurationRevision,
             Collection<TaskRecord> tasks,
@@ -35,7 +40,9 @@
             Collection<SchedulerTerm> schedulers,
             Map<WorkerId, Long> draining,
             Map<ManifestKey, Integer> attemptFloors,
-            int attemptFloor) {
+            int attemptFloor,
+            Map<DataCentreId, Long> drainedDataCentres,
+            Collection<DrainChange> drainChanges) {
         return new TableContents(
                 configurationRevision,
                 List.copyOf(tasks),
@@ -43,6 +50,8 @@
                 List.copyOf(schedulers),
                 Map.copyOf(draining),
                 Collections.unmodifiableMap(new LinkedHashMap<>(attemptFloors)),
-                attemptFloor);
+                attemptFloor,
+                Map.copyOf(drainedDataCentres),
+                List.copyOf(drainChanges));
     }
 }
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/task/TaskCommand.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/task/TaskCommand.java
@@ -1,5 +1,6 @@
 package dev.waxwinghead.scheduling.task;
 
+import dev.waxwinghead.model.id.ChangeId;
 import dev.waxwinghead.model.id.DataCentreId;
 import dev.waxwinghead.model.id.HostId;
 import dev.waxwinghead.model.id.JobName;
@@ -54,7 +55,7 @@
     record Revoke(DataCentreId dataCentre, long term, long renewals) implements TaskCommand {}
 
     /**
-     * Changes tasks of a data centre.
+     * Changes tasks of a data centre. Starts are ignored while the data centre is drained.
      *
      * @param dataCentre the data centre
      * @param term the term of the scheduler; all transitions are refused if another term is current
@@ -91,7 +92,8 @@
     record OwnerChange(ManifestKey key, long revision, Manifest manifest) {}
 
     /**
-     * Delegates waiting tasks to a data centre. Tasks that are no longer waiting are ignored.
+     * Delegates waiting tasks to a data centre. Tasks that are no longer waiting are ignored, and so is the command if
+     * the data centre is drained.
      *
      * @param dataCentre the data centre
      * @param tasks the ids of the tasks, never null
@@ -143,4 +145,14 @@
      * @param incarnation the newest incarnation to which the drain applies
      */
     record DrainWorker(WorkerId worker, long incarnation) implements TaskCommand {}
+
+    /**
+     * Drains a data centre or reverts the drain. No task starts in a drained data centre, and no task is delegated to
+     * it. The command is refused if its change id was used with other content.
+     *
+     * @param change the id of the operator's request; a resend has the same id and the result of the first command
+     * @param dataCentre the data centre
+     * @param drained true to drain the data centre, false to revert the drain
+     */
+    record SetDrained(ChangeId change, DataCentreId dataCentre, boolean drained) implements TaskCommand {}
 }
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/task/TaskTable.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/task/TaskTable.java
@@ -26,6 +26,7 @@
     private final Map<TaskId, TaskRecord> tasks = new ConcurrentHashMap<>();
     private final Map<DataCentreId, SchedulerTerm> schedulers = new ConcurrentHashMap<>();
     private final Map<WorkerId, Long> draining = new ConcurrentHashMap<>();
+    private final DrainTable drains = new DrainTable();
     private final OwnerTable owners = new OwnerTable(this);
     private volatile Consumer<TaskRecord> listener = changed -> {};
     private volatile long configurationRevision;
@@ -64,6 +65,9 @@
         if (command instanceof TaskCommand.Reconcile reconcile) {
             return reconcile(index, reconcile);
         }
+        if (command instanceof TaskCommand.SetDrained drain) {
+            return drains.apply(index, drain);
+        }
         if (command instanceof TaskCommand.Delegate delegate) {
             delegate.tasks().forEach(task -> delegate(task, delegate.dataCentre()));
         } else if (command instanceof TaskCommand.Restart restart) {
@@ -149,6 +153,26 @@
         return newest != null && incarnation <= newest;
     }
 
+    /**
+     * Returns whether a data centre is drained.
+     *
+     * @param dataCentre the data centre
+     * @return true if no task is to start there
+     */
+    public boolean drained(DataCentreId dataCentre) {
+        return drains.contains(dataCentre);
+    }
+
+    /**
+     * Returns the drained data centres.
+     *
+     * @return an unmodifiable live view with the log index of the command that drained each data centre, in the order
+     *     of the ids; never null
+     */
+    public Map<DataCentreId, Long> drainedDataCentres() {
+        return drains.drainedSince();
+    }
+
     /**
      * Returns the configuration revision that the owners reflect.
      *
@@ -171,7 +195,9 @@
                 schedulers.values(),
                 draining,
                 owners.attemptFloors(),
-                owners.attemptFloor());
+                owners.attemptFloor(),
+                drains.drainedSince(),
+                drains.changes());
     }
 
     /**
@@ -187,6 +213,7 @@
         draining.clear();
         draining.putAll(contents.draining());
         owners.restore(contents);
+        drains.restore(contents);
         configurationRevision = contents.configurationRevision();
     }
 
@@ -214,7 +241,11 @@
         if (acting == null || acting.term() != command.term()) {
             return new CommandResult(false, acting == null ? 0 : acting.term());
         }
+        boolean drained = drains.contains(command.dataCentre());
         for (Transition transition : command.transitions()) {
+            if (drained && transition instanceof Transition.Start) {
+                continue;
+            }
             TaskRecord task = tasks.get(transition.task());
             OwnerRecord owner = task == null ? null : owners.find(task.owner());
             if (owner != null) {
@@ -242,6 +273,9 @@
     }
 
     private void delegate(TaskId id, DataCentreId dataCentre) {
+        if (drains.contains(dataCentre)) {
+            return;
+        }
         TaskRecord task = tasks.get(id);
         if (task != null && task.state() == TaskState.WAITING && !dataCentre.equals(task.dataCentre())) {
             store(task.withDataCentre(dataCentre));
