Drain data centres through the operators' interface

POST /v1/drain takes a data centre and POST /v1/undrain reverts the drain; both answer once committed, with the log index. The planner delegates no task to a drained data centre and names the drain as the reason of a task that could run only there. Service tasks move as in a rolling restart, and only if a worker elsewhere has room for them; tasks of jobs run to completion. A dry run compares the service tasks with the free resources of the workers elsewhere.

--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/Daemon.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/Daemon.java
@@ -157,7 +157,7 @@
                 DrainKind.UPSTREAM, (changeId, name) -> drainUpstream(upstreams, UpstreamId.of(name)),
                 DrainKind.HOST, (changeId, name) -> drainAsync());
         OperatorPart operator =
-                OperatorPart.create(configuration, log, working, drainers, metrics, () -> !leaving.get());
+                OperatorPart.create(configuration, log, working, drainers, tasks, metrics, () -> !leaving.get());
         List<DaemonPart> all = new ArrayList<>(working);
         all.add(operator);
         startParts(all, context);
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/operator/OperatorPart.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/operator/OperatorPart.java
@@ -25,6 +25,7 @@
     private final ReplicatedLog log;
     private final List<DaemonPart> parts;
     private final Map<DrainKind, Drainer> drainers;
+    private final DataCentreDrains dataCentres;
     private final PrometheusMeterRegistry metrics;
     private final BooleanSupplier ready;
     private final Closer closer = Closer.create();
@@ -34,12 +35,14 @@
             ReplicatedLog log,
             List<DaemonPart> parts,
             Map<DrainKind, Drainer> drainers,
+            DataCentreDrains dataCentres,
             PrometheusMeterRegistry metrics,
             BooleanSupplier ready) {
         this.configuration = configuration;
         this.log = log;
         this.parts = parts;
         this.drainers = drainers;
+        this.dataCentres = dataCentres;
         this.metrics = metrics;
         this.ready = ready;
     }
@@ -51,6 +54,7 @@
      * @param log the replicated log
      * @param parts the other parts, whose status is reported
      * @param drainers the drainers by the kind of target
+     * @param dataCentres drains data centres
      * @param metrics the registry whose metrics are exposed
      * @param ready returns whether this host accepts new requests
      * @return the part, never null
@@ -60,9 +64,10 @@
             ReplicatedLog log,
             List<DaemonPart> parts,
             Map<DrainKind, Drainer> drainers,
+            DataCentreDrains dataCentres,
             PrometheusMeterRegistry metrics,
             BooleanSupplier ready) {
-        return new OperatorPart(configuration, log, parts, drainers, metrics, ready);
+        return new OperatorPart(configuration, log, parts, drainers, dataCentres, metrics, ready);
     }
 
     @Override
@@ -83,7 +88,10 @@
         context.operatorHttp().route(ResourcesHandler.KIND_PREFIX, resources);
         context.operatorHttp().route("/v1/status", new StatusHandler(context, gossip, parts));
         context.operatorHttp()
-                .route("/v1/drain", new DrainHandler(drainers, context.self().value()));
+                .route(
+                        "/v1/drain",
+                        new DrainHandler(drainers, dataCentres, context.self().value()));
+        context.operatorHttp().route("/v1/undrain", new UndrainHandler(dataCentres));
         context.operatorHttp().route("/v1/members/remove", new MembersHandler(log, context.ticker()));
         context.operatorHttp().route("/metrics", exchange -> respondText(exchange, 200, metrics.scrape()));
         context.operatorHttp().route("/healthz", exchange -> respondText(exchange, 200, "ok\n"));
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/tasks/DataCentreChooser.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/tasks/DataCentreChooser.java
@@ -7,19 +7,29 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 
-/** Chooses data centres for tasks by capacity reports, less the resources of the tasks delegated since. */
+/**
+ * Chooses data centres for tasks by capacity reports, less the resources of the tasks delegated since. A drained data
+ * centre is never chosen.
+ */
 final class DataCentreChooser {
+    private static final String DRAIN_REASON_PREFIX = "the workers that could run it are in drained data centres: ";
+
     private final Map<DataCentreId, CapacityReport> reports = new TreeMap<>();
     private final Map<DataCentreId, Resources> delegated = new HashMap<>();
+    private final Set<DataCentreId> drained;
 
-    private DataCentreChooser() {}
+    private DataCentreChooser(Set<DataCentreId> drained) {
+        this.drained = Set.copyOf(drained);
+    }
 
-    static DataCentreChooser of(Collection<CapacityReport> reports) {
-        DataCentreChooser chooser = new DataCentreChooser();
+    static DataCentreChooser of(Collection<CapacityReport> reports, Set<DataCentreId> drained) {
+        DataCentreChooser chooser = new DataCentreChooser(drained);
         reports.forEach(report -> chooser.reports.put(report.dataCentre(), report));
         return chooser;
     }
@@ -52,6 +62,26 @@
                 + nearest.capacity().describe() + " in all");
     }
 
+    /** Returns why an owner that only workers of drained data centres could run waits, or empty for any other owner. */
+    Optional<String> drainReason(OwnerRecord owner) {
+        List<String> able = reports.keySet().stream()
+                .filter(dataCentre -> canRun(owner, reports.get(dataCentre)))
+                .filter(drained::contains)
+                .map(DataCentreId::value)
+                .toList();
+        boolean runsElsewhere = reports.keySet().stream()
+                .filter(dataCentre -> !drained.contains(dataCentre))
+                .anyMatch(dataCentre -> canRun(owner, reports.get(dataCentre)));
+        return able.isEmpty() || runsElsewhere
+                ? Optional.empty()
+                : Optional.of(DRAIN_REASON_PREFIX + String.join(", ", able));
+    }
+
+    /** Returns whether a reason is one of {@link #drainReason}. */
+    static boolean isDrainReason(String reason) {
+        return reason != null && reason.startsWith(DRAIN_REASON_PREFIX);
+    }
+
     /**
      * Chooses a data centre for one task of an owner and deducts the task's resources from that data centre.
      *
@@ -62,6 +92,7 @@
         Comparator<DataCentreId> fewestPresent =
                 Comparator.comparingInt(dataCentre -> spread ? -present.getOrDefault(dataCentre, 0) : 0);
         Optional<DataCentreId> chosen = reports.keySet().stream()
+                .filter(dataCentre -> !drained.contains(dataCentre))
                 .filter(dataCentre -> canRun(owner, reports.get(dataCentre)))
                 .max(fewestPresent
                         .thenComparingLong(dataCentre -> estimateFreeSlots(owner, dataCentre))
@@ -71,13 +102,14 @@
     }
 
     /**
-     * Estimates how many more tasks of an owner fit into a data centre now; negative if more were delegated than fit.
+     * Estimates how many more tasks of an owner fit into a data centre now; negative if more were delegated than fit,
+     * and 0 if the data centre is drained.
      */
     long estimateFreeSlots(OwnerRecord owner, DataCentreId dataCentre) {
         Resources used = delegated.getOrDefault(dataCentre, Resources.NONE);
         long slots = 0;
         CapacityReport report = reports.get(dataCentre);
-        if (report == null) {
+        if (report == null || drained.contains(dataCentre)) {
             return 0;
         }
         for (CapacityReport.Group group : report.groups()) {
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/tasks/Planner.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/tasks/Planner.java
@@ -25,6 +25,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import org.jboss.logging.Logger;
 
 /**
  * Reconciles services and jobs, the owners of tasks, with the configuration and delegates waiting tasks to data
@@ -34,9 +35,13 @@
  * table when the command is applied.
  */
 final class Planner {
+    private static final Logger LOG = Logger.getLogger(Planner.class);
     private static final int MAX_DELEGATIONS_PER_ROUND = 2_000;
     private static final long REDELEGATION_DELAY_NANOS = TimeUnit.SECONDS.toNanos(2);
 
+    private static final long EVACUATION_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(1);
+    private static final long MAX_WORKER_LIST_AGE_NANOS = TimeUnit.SECONDS.toNanos(4);
+
     private final DaemonContext context;
     private final TaskTable table;
     private final TaskProposals proposals;
@@ -45,6 +50,8 @@
     private final DataCentreFailureDetector failureDetector;
     private final RollingRestart restart;
     private final Map<TaskId, Long> delegatedAtNanos = new HashMap<>();
+    private long workersRequestedNanos;
+    private CompletableFuture<List<WorkerRow>> workerList;
     private CompletableFuture<?> inFlight = CompletableFuture.completedFuture(null);
 
     Planner(
@@ -60,6 +67,7 @@
         this.waiting = waiting;
         this.failureDetector = new DataCentreFailureDetector(table);
         this.restart = new RollingRestart(table);
+        this.workersRequestedNanos = context.ticker().nanos() - EVACUATION_INTERVAL_NANOS;
     }
 
     /** Plans once, unless commands of the previous round are still pending. */
@@ -74,7 +82,9 @@
         if (commands.isEmpty()) {
             commands.addAll(failureDetector.revocations(now));
             commands.addAll(delegations(now));
-            restart.next().ifPresent(commands::add);
+            Optional<TaskCommand> outdated = restart.next();
+            // Both rely on the number of missing tasks in the table, so only one of them may stop tasks in a round.
+            (outdated.isPresent() ? outdated : evacuation(now)).ifPresent(commands::add);
         }
         inFlight = CompletableFuture.allOf(commands.stream()
                 .map(command -> proposals.propose(command).exceptionally(failure -> null))
@@ -122,16 +132,21 @@
     }
 
     private List<TaskCommand> delegations(long now) {
-        DataCentreChooser chooser = DataCentreChooser.of(exchange.reports());
+        DataCentreChooser chooser = DataCentreChooser.of(
+                exchange.reports(), table.drainedDataCentres().keySet());
         Map<DataCentreId, List<TaskId>> chosen = new TreeMap<>();
         Map<ManifestKey, String> impossibleReasons = new HashMap<>();
+        Map<ManifestKey, String> drainReasons = new HashMap<>();
         Map<ManifestKey, Map<DataCentreId, Integer>> present = new HashMap<>();
         delegatedAtNanos.keySet().retainAll(waiting.ids());
         int remaining = MAX_DELEGATIONS_PER_ROUND;
         for (TaskId id : waiting.ids()) {
             TaskRecord task = table.task(id).orElse(null);
             OwnerRecord owner = task == null ? null : table.owner(task.owner()).orElse(null);
-            if (owner == null || remaining == 0 || impossibleReasons.containsKey(owner.key())) {
+            if (owner == null
+                    || remaining == 0
+                    || impossibleReasons.containsKey(owner.key())
+                    || drainReasons.containsKey(owner.key())) {
                 continue;
             }
             Optional<String> impossible = chooser.hasWorkers() ? chooser.impossibilityReason(owner) : Optional.empty();
@@ -146,17 +161,20 @@
                     chosen.computeIfAbsent(dataCentre.get(), key -> new ArrayList<>())
                             .add(id);
                     remaining--;
+                } else if (task.dataCentre() == null || table.drained(task.dataCentre())) {
+                    chooser.drainReason(owner).ifPresent(reason -> drainReasons.put(owner.key(), reason));
                 }
             }
         }
         List<TaskCommand> commands = new ArrayList<>();
         chosen.forEach((dataCentre, tasks) -> commands.add(new TaskCommand.Delegate(dataCentre, tasks)));
         commands.addAll(impossibilityUpdates(impossibleReasons));
+        commands.addAll(drainReasonUpdates(impossibleReasons.keySet(), drainReasons, remaining > 0));
         return commands;
     }
 
     private boolean mayDelegate(TaskRecord task, OwnerRecord owner, DataCentreChooser chooser, long now) {
-        if (task.dataCentre() == null) {
+        if (task.dataCentre() == null || table.drained(task.dataCentre())) {
             return true;
         }
         long since = delegatedAtNanos.computeIfAbsent(task.id(), key -> now);
@@ -188,4 +206,59 @@
         }
         return commands;
     }
+
+    /**
+     * Returns commands that record which owners wait because of a drain, and that withdraw the reason afterwards.
+     *
+     * @param impossible the owners that no worker could run, which have another reason
+     * @param reasons the reasons by owner
+     * @param complete whether all waiting tasks were examined; otherwise no reason is withdrawn
+     */
+    private List<TaskCommand> drainReasonUpdates(
+            Set<ManifestKey> impossible, Map<ManifestKey, String> reasons, boolean complete) {
+        List<TaskCommand> commands = new ArrayList<>();
+        for (OwnerRecord owner : table.owners()) {
+            String reason = reasons.get(owner.key());
+            if (owner.desiredTasks() == 0 || impossible.contains(owner.key())) {
+                continue;
+            }
+            if (reason != null && !reason.equals(owner.reason())) {
+                commands.add(new TaskCommand.RecordReason(owner.key(), false, reason));
+            } else if (reason == null && complete && DataCentreChooser.isDrainReason(owner.reason())) {
+                commands.add(new TaskCommand.RecordReason(owner.key(), false, null));
+            }
+        }
+        return commands;
+    }
+
+    /**
+     * Returns the command that stops the next service tasks in drained data centres. The list of workers is requested
+     * in one round and used in a later one, so that a scheduler that does not answer delays no delegation.
+     */
+    private Optional<TaskCommand> evacuation(long now) {
+        if (table.drainedDataCentres().isEmpty() || now - workersRequestedNanos >= MAX_WORKER_LIST_AGE_NANOS) {
+            workerList = null;
+        }
+        if (table.drainedDataCentres().isEmpty()) {
+            return Optional.empty();
+        }
+        if (workerList == null) {
+            if (now - workersRequestedNanos >= EVACUATION_INTERVAL_NANOS) {
+                workersRequestedNanos = now;
+                workerList = exchange.workers();
+            }
+            return Optional.empty();
+        }
+        if (!workerList.isDone()) {
+            return Optional.empty();
+        }
+        List<TaskId> stops = workerList.isCompletedExceptionally()
+                ? List.of()
+                : DataCentreEvacuation.nextStops(table, workerList.join());
+        workerList = null;
+        stops.forEach(id -> LOG.infof(
+                "event=task-stop task=%s dataCentre=%s reason=data-centre-drained",
+                id, table.task(id).map(TaskRecord::dataCentre).orElse(null)));
+        return stops.isEmpty() ? Optional.empty() : Optional.of(new TaskCommand.Restart(stops));
+    }
 }
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/tasks/RollingRestart.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/tasks/RollingRestart.java
@@ -12,7 +12,8 @@
 
 /**
  * Restarts the tasks of changed services so that at most a quarter of a service's tasks are down at once, or one task
- * if a quarter is less than one.
+ * if a quarter is less than one. Tasks in drained data centres are left to {@link DataCentreEvacuation}, since they
+ * could not start again before there is capacity elsewhere.
  */
 final class RollingRestart {
     private static final int BATCH_DIVISOR = 4;
@@ -40,11 +41,15 @@
             TaskRecord task = table.task(owner.taskId(i)).orElse(null);
             if (task == null || task.state() != TaskState.RUNNING) {
                 missing++;
-            } else if (task.attempt().revision() < owner.templateRevision()) {
+            } else if (task.attempt().revision() < owner.templateRevision() && !table.drained(task.dataCentre())) {
                 outdated.add(task.id());
             }
         }
-        int allowed = Math.max(1, owner.desiredTasks() / BATCH_DIVISOR) - missing;
-        return outdated.subList(0, Math.max(0, Math.min(allowed, outdated.size())));
+        return outdated.subList(0, Math.min(allowedStops(owner, missing), outdated.size()));
+    }
+
+    /** Returns how many more tasks of a service may be stopped while the given number of tasks does not run. */
+    static int allowedStops(OwnerRecord owner, int missing) {
+        return Math.max(0, Math.max(1, owner.desiredTasks() / BATCH_DIVISOR) - missing);
     }
 }
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/tasks/TaskRoutes.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/tasks/TaskRoutes.java
@@ -8,6 +8,7 @@
 import dev.waxwinghead.model.error.ErrorKind;
 import dev.waxwinghead.model.error.WaxwingheadException;
 import dev.waxwinghead.model.id.ChangeId;
+import dev.waxwinghead.model.id.DataCentreId;
 import dev.waxwinghead.model.id.JobName;
 import dev.waxwinghead.model.manifest.JobManifest;
 import dev.waxwinghead.model.manifest.ManifestKey;
@@ -33,6 +34,8 @@
     private static final String TASKS = "/v1/tasks";
     private static final String JOBS = "/v1/jobs/";
     private static final String WORKERS = "/v1/workers";
+    private static final String DATA_CENTRES = "/v1/data-centres";
+    private static final String DATA_CENTRE_PREFIX = DATA_CENTRES + "/";
     private static final String CANCEL = "/v1/cancel";
     private static final String OWNER_QUERY = "owner=";
 
@@ -41,18 +44,21 @@
     private final TaskProposals proposals;
     private final Planner planner;
     private final SchedulerExchange exchange;
+    private final DataCentreDrainService drains;
 
     TaskRoutes(
             DaemonContext context,
             TaskTable table,
             TaskProposals proposals,
             Planner planner,
-            SchedulerExchange exchange) {
+            SchedulerExchange exchange,
+            DataCentreDrainService drains) {
         this.context = context;
         this.table = table;
         this.proposals = proposals;
         this.planner = planner;
         this.exchange = exchange;
+        this.drains = drains;
     }
 
     void register(HttpListener listener) {
@@ -60,6 +66,8 @@
         listener.route(JOBS, this::job);
         listener.route(WORKERS, this::workers);
         listener.route(CANCEL, this::cancel);
+        listener.route(DATA_CENTRES, this::dataCentres);
+        listener.route(DATA_CENTRE_PREFIX, this::dataCentre);
     }
 
     private void tasks(HttpExchange exchange) {
@@ -101,6 +109,25 @@
         JsonExchange.respondWhenComplete(exchange, this.exchange.workers().thenApply(rows -> Map.of("workers", rows)));
     }
 
+    private void dataCentres(HttpExchange exchange) {
+        requireMethod(exchange, "GET");
+        List<DataCentreRow> rows =
+                drains.known().stream().map(id -> DataCentreRow.of(table, id)).toList();
+        JsonExchange.respond(exchange, 200, Map.of("dataCentres", rows));
+    }
+
+    private void dataCentre(HttpExchange exchange) {
+        requireMethod(exchange, "GET");
+        DataCentreId id = DataCentreId.of(exchange.getRequestURI().getPath().substring(DATA_CENTRE_PREFIX.length()));
+        drains.requireKnown(id);
+        List<TaskRow> live = table.tasks().stream()
+                .filter(task -> task.state().live() && id.equals(task.dataCentre()))
+                .sorted(Comparator.comparing(TaskRecord::id))
+                .map(task -> TaskRow.of(task, table.owner(task.owner())))
+                .toList();
+        JsonExchange.respond(exchange, 200, Map.of("dataCentre", DataCentreRow.of(table, id), "tasks", live));
+    }
+
     private void cancel(HttpExchange exchange) throws IOException {
         requireMethod(exchange, "POST");
         CancelBody body = JsonExchange.read(exchange, CancelBody.class);
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/tasks/TasksPart.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/tasks/TasksPart.java
@@ -1,5 +1,7 @@
 package dev.waxwinghead.daemon.tasks;
 
+import dev.waxwinghead.daemon.operator.DataCentreDrains;
+import dev.waxwinghead.daemon.operator.DrainForecast;
 import dev.waxwinghead.daemon.part.DaemonContext;
 import dev.waxwinghead.daemon.part.DaemonPart;
 import dev.waxwinghead.daemon.part.PeriodicTask;
@@ -7,6 +9,8 @@
 import dev.waxwinghead.daemon.workers.WorkerRoutes;
 import dev.waxwinghead.model.error.ErrorKind;
 import dev.waxwinghead.model.error.WaxwingheadException;
+import dev.waxwinghead.model.id.ChangeId;
+import dev.waxwinghead.model.id.DataCentreId;
 import dev.waxwinghead.model.id.WorkerId;
 import dev.waxwinghead.model.lifecycle.Closer;
 import dev.waxwinghead.model.time.Deadline;
@@ -19,7 +23,7 @@
 import org.jboss.logging.Logger;
 
 /** Plans and schedules the tasks of services and jobs, and serves workers and operators. */
-public final class TasksPart implements DaemonPart {
+public final class TasksPart implements DaemonPart, DataCentreDrains {
     private static final Logger LOG = Logger.getLogger(TasksPart.class);
     private static final long SCHEDULER_INTERVAL_MILLIS = 50;
     private static final long PLANNER_INTERVAL_MILLIS = 100;
@@ -33,6 +37,7 @@
     private TaskProposals proposals;
     private ActingScheduler acting;
     private SchedulerExchange exchange;
+    private DataCentreDrainService drains;
 
     private TasksPart() {
         section.table().onChange(waiting::taskChanged);
@@ -62,7 +67,8 @@
         waiting.tableRestored(section.table());
         exchange = new SchedulerExchange(daemonContext, section.table(), acting);
         Planner planner = new Planner(daemonContext, section.table(), proposals, exchange, waiting);
-        new TaskRoutes(daemonContext, section.table(), proposals, planner, exchange)
+        drains = new DataCentreDrainService(daemonContext, section.table(), proposals, exchange);
+        new TaskRoutes(daemonContext, section.table(), proposals, planner, exchange, drains)
                 .register(daemonContext.operatorHttp());
         WorkerRoutes.register(daemonContext.workerHttp(), acting::poll, daemonContext.meters());
         daemonContext
@@ -71,6 +77,12 @@
                         "waxwinghead.tasks.waiting",
                         waiting,
                         tasks -> tasks.ids().size());
+        daemonContext
+                .meters()
+                .gauge(
+                        "waxwinghead.tasks.data.centres.drained",
+                        section.table(),
+                        table -> table.drainedDataCentres().size());
         scheduleEvery(SCHEDULER_INTERVAL_MILLIS, "scheduler", acting::tick);
         scheduleEvery(PLANNER_INTERVAL_MILLIS, "planner", planner::tick);
         WaitReasonReporter waitReasons = new WaitReasonReporter(section.table());
@@ -101,6 +113,21 @@
                 .thenApply(result -> null);
     }
 
+    @Override
+    public CompletableFuture<Long> drainDataCentre(ChangeId changeId, DataCentreId dataCentre) {
+        return drains.drainDataCentre(changeId, dataCentre);
+    }
+
+    @Override
+    public CompletableFuture<Long> undrainDataCentre(ChangeId changeId, DataCentreId dataCentre) {
+        return drains.undrainDataCentre(changeId, dataCentre);
+    }
+
+    @Override
+    public CompletableFuture<DrainForecast> forecastDrain(DataCentreId dataCentre) {
+        return drains.forecastDrain(dataCentre);
+    }
+
     @Override
     public CompletableFuture<Void> drain(Deadline deadline) {
         return acting.releaseTerm();
@@ -112,7 +139,11 @@
                 "schedulerTerm", acting.term(),
                 "tasks", section.table().tasks().size(),
                 "waiting", waiting.ids().size(),
-                "configurationRevision", section.table().configurationRevision());
+                "configurationRevision", section.table().configurationRevision(),
+                "drainedDataCentres",
+                        section.table().drainedDataCentres().keySet().stream()
+                                .map(dataCentre -> DataCentreRow.of(section.table(), dataCentre))
+                                .toList());
     }
 
     @Override
--- a/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/operator/DrainHandlerTests.java
+++ b/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/operator/DrainHandlerTests.java
@@ -3,6 +3,8 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import dev.waxwinghead.daemon.http.HttpListener;
+import dev.waxwinghead.model.id.ChangeId;
+import dev.waxwinghead.model.id.DataCentreId;
 import dev.waxwinghead.model.lifecycle.Closer;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -39,7 +41,9 @@
                                 DrainKind.WORKER, (change, name) -> record("worker " + name),
                                 DrainKind.UPSTREAM, (change, name) -> record("upstream " + name),
                                 DrainKind.HOST, (change, name) -> record("host " + name)),
+                        new RecordingDrains(),
                         "e1"));
+        http.route("/v1/undrain", new UndrainHandler(new RecordingDrains()));
         http.start();
     }
 
@@ -53,7 +57,10 @@
         "'\"worker\": \"w1\"', worker w1",
         "'\"worker\": \"w1\", \"host\": false', worker w1",
         "'\"upstream\": \"u1\", \"host\": null', upstream u1",
-        "'\"host\": true', host e1"
+        "'\"host\": true', host e1",
+        "'\"dataCentre\": \"dc1\"', data centre dc1 true",
+        "'\"dataCentre\": \"dc1\", \"dryRun\": false', data centre dc1 true",
+        "'\"dataCentre\": \"dc1\", \"dryRun\": true', forecast dc1"
     })
     void drainsTheNamedTarget(String target, String expected) throws Exception {
         assertThat(post("{\"changeId\": \"c1\", " + target + "}")).isEqualTo(200);
@@ -67,13 +74,32 @@
         assertThat(drained).isEmpty();
     }
 
+    /** Guards against a dry run that drains the target after all. */
+    @Test
+    void refusesADryRunForOtherTargets() throws Exception {
+        assertThat(post("{\"changeId\": \"c1\", \"worker\": \"w1\", \"dryRun\": true}"))
+                .isEqualTo(400);
+        assertThat(drained).isEmpty();
+    }
+
+    @Test
+    void revertsTheDrainOfADataCentre() throws Exception {
+        assertThat(post("/v1/undrain", "{\"changeId\": \"c1\", \"dataCentre\": \"dc1\"}"))
+                .isEqualTo(200);
+        assertThat(drained).containsExactly("data centre dc1 false");
+    }
+
     private CompletableFuture<Void> record(String target) {
         drained.add(target);
         return CompletableFuture.completedFuture(null);
     }
 
     private int post(String body) throws Exception {
-        URI uri = URI.create("http://127.0.0.1:" + http.address().getPort() + "/v1/drain");
+        return post("/v1/drain", body);
+    }
+
+    private int post(String path, String body) throws Exception {
+        URI uri = URI.create("http://127.0.0.1:" + http.address().getPort() + path);
         HttpRequest request = HttpRequest.newBuilder(uri)
                 .POST(HttpRequest.BodyPublishers.ofString(body))
                 .build();
@@ -81,4 +107,24 @@
                 .send(request, HttpResponse.BodyHandlers.discarding())
                 .statusCode();
     }
+
+    private final class RecordingDrains implements DataCentreDrains {
+        @Override
+        public CompletableFuture<Long> drainDataCentre(ChangeId changeId, DataCentreId dataCentre) {
+            drained.add("data centre " + dataCentre + " true");
+            return CompletableFuture.completedFuture(7L);
+        }
+
+        @Override
+        public CompletableFuture<Long> undrainDataCentre(ChangeId changeId, DataCentreId dataCentre) {
+            drained.add("data centre " + dataCentre + " false");
+            return CompletableFuture.completedFuture(8L);
+        }
+
+        @Override
+        public CompletableFuture<DrainForecast> forecastDrain(DataCentreId dataCentre) {
+            drained.add("forecast " + dataCentre);
+            return CompletableFuture.completedFuture(new DrainForecast(dataCentre, false, true, List.of(), 0));
+        }
+    }
 }
--- a/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/tasks/FakeCluster.java
+++ b/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/tasks/FakeCluster.java
@@ -105,6 +105,7 @@
     final class Host implements SharedState, PeerNetwork, ConfigurationView {
         final HostId id;
         final TasksPart part = TasksPart.create();
+        DaemonContext context;
         final HttpListener operators = HttpListener.open(loopback(), pool);
         final HttpListener workers = HttpListener.open(loopback(), pool);
         private final DataCentreId dataCentre;
@@ -149,7 +150,7 @@
                     Duration.ofMillis(1_500),
                     workerLease,
                     4);
-            part.start(new DaemonContext(
+            context = new DaemonContext(
                     settings,
                     Ticker.system(),
                     this,
@@ -160,7 +161,8 @@
                     operators,
                     new SimpleMeterRegistry(),
                     timer,
-                    FakeCluster.this::executeOnPool));
+                    FakeCluster.this::executeOnPool);
+            part.start(context);
             operators.start();
             workers.start();
             closer.register(this::kill);
