--- a/waxwinghead-cli/src/main/java/dev/waxwinghead/cli/CommandLine.java
+++ b/waxwinghead-cli/src/main/java/dev/waxwinghead/cli/CommandLine.java
@@ -18,6 +18,7 @@
 import dev.waxwinghead.cli.command.GetCommand;
 import dev.waxwinghead.cli.command.RemoveMemberCommand;
 import dev.waxwinghead.cli.command.StatusCommand;
+import dev.waxwinghead.cli.command.UndrainCommand;
 import dev.waxwinghead.cli.command.UsageException;
 import dev.waxwinghead.cli.output.CommandResult;
 import dev.waxwinghead.cli.output.OutputFormat;
@@ -119,6 +120,7 @@
                 .withCommand(DeleteCommand.class)
                 .withCommand(StatusCommand.class)
                 .withCommand(DrainCommand.class)
+                .withCommand(UndrainCommand.class)
                 .withCommand(CancelCommand.class);
         builder.withGroup("members")
                 .withDescription("Changes the group of entry hosts that vote")
--- a/waxwinghead-cli/src/main/java/dev/waxwinghead/cli/command/GetCommand.java
+++ b/waxwinghead-cli/src/main/java/dev/waxwinghead/cli/command/GetCommand.java
@@ -15,7 +15,7 @@
  *
  * @since 0.1
  */
-@Command(name = "get", description = "Lists services, jobs, other manifests, workers, upstreams or tasks")
+@Command(name = "get", description = "Lists services, jobs, other manifests, workers, upstreams, tasks or data centres")
 public final class GetCommand implements CliCommand {
     @AirlineModule
     ConnectionOptions connection = new ConnectionOptions();
@@ -25,7 +25,8 @@
 
     @Arguments(
             title = {"kind", "name"},
-            description = "service, job, quota, tenant, trafficclass, objective, worker, upstream or task; and a name")
+            description = "service, job, quota, tenant, trafficclass, objective, worker, upstream, task or "
+                    + "data-centre; and a name")
     List<String> arguments = new ArrayList<>();
 
     /** Creates the command. */
--- a/waxwinghead-cli/src/main/java/dev/waxwinghead/cli/command/ResourceView.java
+++ b/waxwinghead-cli/src/main/java/dev/waxwinghead/cli/command/ResourceView.java
@@ -44,6 +44,7 @@
             case "worker" -> new WorkerView();
             case "upstream" -> new UpstreamView();
             case "task" -> new TaskView();
+            case "data-centre" -> new DataCentreView();
             default -> manifestView(kind, stale, problems);
         };
     }
@@ -53,7 +54,7 @@
             return new ManifestView(ManifestKind.ofText(kind), stale);
         } catch (WaxwingheadException e) {
             problems.add("kind '" + kind + "' is unknown; use service, job, quota, tenant, trafficclass, objective, "
-                    + "worker, upstream or task");
+                    + "worker, upstream, task or data-centre");
             return null;
         }
     }
--- a/waxwinghead-cli/src/main/java/dev/waxwinghead/cli/command/StatusCommand.java
+++ b/waxwinghead-cli/src/main/java/dev/waxwinghead/cli/command/StatusCommand.java
@@ -13,12 +13,15 @@
 import java.util.Map;
 
 /**
- * Shows the entry hosts as known to the one that answers: revisions in force, contact and votes.
+ * Shows the entry hosts as known to the one that answers, with revisions in force, contact and votes, and the drained
+ * data centres.
  *
  * @since 0.1
  */
-@Command(name = "status", description = "Shows the entry hosts: revision in force, contact, votes and leader")
+@Command(name = "status", description = "Shows the entry hosts and the drained data centres")
 public final class StatusCommand implements CliCommand {
+    private static final String DRAINED = "drainedDataCentres";
+
     @AirlineModule
     ConnectionOptions connection = new ConnectionOptions();
 
@@ -32,6 +35,7 @@
         addLog(status, text);
         text.append('\n').append(hosts(status));
         addParts(status.path("parts"), text);
+        addDrained(status.path("parts").path(DRAINED), text);
         return CommandResult.of(status, text.toString());
     }
 
@@ -89,7 +93,8 @@
 
     private static void addParts(JsonNode parts, StringBuilder text) {
         List<String> lines = new ArrayList<>();
-        parts.properties()
+        parts.properties().stream()
+                .filter(part -> !part.getKey().equals(DRAINED))
                 .forEach(part -> lines.add(part.getKey() + ": "
                         + (part.getValue().isValueNode()
                                 ? part.getValue().asText()
@@ -100,6 +105,12 @@
         }
     }
 
+    private static void addDrained(JsonNode drained, StringBuilder text) {
+        if (!drained.isEmpty()) {
+            text.append("\ndrained data centres and what still runs there:\n").append(DataCentreView.table(drained));
+        }
+    }
+
     @Override
     public OutputFormat format() {
         return connection.format();
--- a/waxwinghead-cli/src/test/java/dev/waxwinghead/cli/CommandLineTests.java
+++ b/waxwinghead-cli/src/test/java/dev/waxwinghead/cli/CommandLineTests.java
@@ -86,6 +86,10 @@
                     "apply -f - --change-id a%b",
                     "delete job",
                     "drain star w1",
+                    "drain data-centre",
+                    "drain worker w1 --dry-run",
+                    "undrain worker w1",
+                    "undrain data-centre",
                     "cancel",
                     "members remove",
                     "shout",
@@ -99,7 +103,16 @@
         }
 
         @ParameterizedTest
-        @ValueSource(strings = {"get jobs", "describe job a", "delete job a", "drain worker a", "cancel a", "status"})
+        @ValueSource(
+                strings = {
+                    "get jobs",
+                    "describe job a",
+                    "delete job a",
+                    "drain worker a",
+                    "undrain data-centre a",
+                    "cancel a",
+                    "status"
+                })
         void reportsUnknownOption(String command) {
             int status = run((command + " --colour red").split(" ", -1));
 
@@ -118,7 +131,18 @@
         }
 
         @ParameterizedTest
-        @ValueSource(strings = {"apply", "get", "describe", "delete", "status", "drain", "cancel", "members remove"})
+        @ValueSource(
+                strings = {
+                    "apply",
+                    "get",
+                    "describe",
+                    "delete",
+                    "status",
+                    "drain",
+                    "undrain",
+                    "cancel",
+                    "members remove"
+                })
         void showsHelpOfEachCommand(String command) {
             int status = run((command + " --help").split(" ", -1));
 
@@ -269,4 +293,96 @@
             assertThat(output()).contains("e2    dc2          4         no         2.5s ago");
         }
     }
+
+    @Nested
+    class DataCentres {
+        private static final String ROW = """
+                {"dataCentre": "dc1", "drained": true, "drainedAtIndex": 57, "scheduler": "e1", "serviceTasks": 2,
+                 "jobTasks": 1}""";
+
+        private JsonNode sent() throws IOException {
+            return new ObjectMapper().readTree(host.bodies().get(0));
+        }
+
+        @Test
+        void drainsAndUndrainsUnderTheChangeId() throws IOException {
+            host.reply("/v1/drain", 200, "{\"draining\": \"dc1\", \"index\": 57}");
+            host.reply("/v1/undrain", 200, "{\"undrained\": \"dc1\", \"index\": 60}");
+
+            assertThat(run("drain", "data-centre", "dc1", "--change-id", "c1")).isEqualTo(0);
+            assertThat(run("undrain", "data-centre", "dc1", "--change-id", "c2"))
+                    .isEqualTo(0);
+
+            assertThat(sent().path("dataCentre").asText()).isEqualTo("dc1");
+            assertThat(sent().path("changeId").asText()).isEqualTo("c1");
+            assertThat(sent().has("dryRun")).isFalse();
+            assertThat(output()).isEqualTo("""
+                    data-centre dc1 drains, index 57, change c1
+                    data-centre dc1 is not drained, index 60, change c2
+                    """);
+        }
+
+        @Test
+        void tellsInADryRunWhatFitsElsewhere() throws IOException {
+            host.reply("/v1/drain", 200, """
+                    {"dataCentre": "dc1", "drained": false, "fits": false, "jobTasks": 4,
+                     "services": [{"service": "quotes", "tasks": 3, "fitElsewhere": 2}]}""");
+
+            assertThat(run("drain", "data-centre", "dc1", "--dry-run")).isEqualTo(0);
+
+            assertThat(sent().path("dryRun").asBoolean()).isTrue();
+            assertThat(output()).isEqualTo("""
+                    data-centre dc1 is not drained
+                    tasks of services fit elsewhere: no
+                    tasks of jobs that run to completion: 4
+
+                    SERVICE  TASKS  FIT-ELSEWHERE
+                    quotes   3      2
+                    """);
+        }
+
+        @Test
+        void exitsWithTheStatusOfNotFoundForAnUnknownDataCentre() {
+            host.reply("/v1/drain", 404, """
+                    {"error": "not-found", "message": "there is no data centre 'dc9'; known are dc1; see 'get data-centres'",
+                     "remedy": "see 'get data-centres'"}""");
+
+            assertThat(run("drain", "data-centre", "dc9")).isEqualTo(4);
+            assertThat(errors()).contains("known are dc1; see 'get data-centres'");
+        }
+
+        @Test
+        void describesWhatStillRunsInADataCentre() {
+            host.reply("/v1/data-centres/dc1", 200, "{\"dataCentre\": " + ROW + """
+                    , "tasks": [{"task": "service/quotes/0", "attempt": 1, "state": "running", "worker": "w1",
+                     "dataCentre": "dc1"}]}""");
+
+            assertThat(run("describe", "data-centre", "dc1")).isEqualTo(0);
+
+            assertThat(output()).contains("dc1          yes      57     e1         2              1\n");
+            assertThat(output()).contains("service/quotes/0  1        running  w1");
+        }
+
+        @Test
+        void showsDrainedDataCentresInTheStatus() {
+            host.reply("/v1/status", 200, """
+                    {"host": "e1", "dataCentre": "dc1", "revision": 5, "log": {}, "peers": [],
+                     "parts": {"tasks": 3, "drainedDataCentres": [""" + ROW + "]}}");
+
+            assertThat(run("status")).isEqualTo(0);
+
+            assertThat(output()).contains("drained data centres and what still runs there:\n");
+            assertThat(output()).contains("dc1          yes      57     e1");
+            assertThat(output()).doesNotContain("drainedDataCentres");
+        }
+
+        @Test
+        void listsDataCentres() {
+            host.reply("/v1/data-centres", 200, "{\"dataCentres\": [" + ROW + "]}");
+
+            assertThat(run("get", "data-centres")).isEqualTo(0);
+            assertThat(output()).contains("dc1          yes");
+            assertThat(run("get", "data-centre", "dc9")).isEqualTo(4);
+        }
+    }
 }
