--- a/waxwinghead-testkit/src/main/java/dev/waxwinghead/testkit/relay/RelayedConnection.java
+++ b/waxwinghead-testkit/src/main/java/dev/waxwinghead/testkit/relay/RelayedConnection.java
@@ -14,16 +14,18 @@
     private final Socket client;
     private final Socket server = new Socket();
     private final RelayGate gate;
+    private final RelayGate replyGate;
     private volatile boolean dropping;
 
-    private RelayedConnection(Socket client, RelayGate gate) {
+    private RelayedConnection(Socket client, RelayGate gate, RelayGate replyGate) {
         this.client = client;
         this.gate = gate;
+        this.replyGate = replyGate;
     }
 
-    static RelayedConnection of(Socket client, RelayGate gate) throws IOException {
+    static RelayedConnection of(Socket client, RelayGate gate, RelayGate replyGate) throws IOException {
         client.setTcpNoDelay(true);
-        return new RelayedConnection(client, gate);
+        return new RelayedConnection(client, gate, replyGate);
     }
 
     /** Discards all further bytes. If one side then closes the connection, the other side stays open. */
@@ -57,6 +59,9 @@
             int length = input.read(buffer);
             while (length >= 0) {
                 gate.awaitNotFrozen();
+                if (from == server) {
+                    replyGate.awaitNotFrozen();
+                }
                 if (!dropping) {
                     output.write(buffer, 0, length);
                 }
--- a/waxwinghead-testkit/src/main/java/dev/waxwinghead/testkit/relay/TcpRelay.java
+++ b/waxwinghead-testkit/src/main/java/dev/waxwinghead/testkit/relay/TcpRelay.java
@@ -15,10 +15,10 @@
 /**
  * Relays TCP connections to a target and simulates failures of the network in between.
  *
- * <p>Four failures can be simulated: {@link #cut()} closes all connections and refuses new ones, {@link #drop()}
- * discards all bytes while connections stay open, {@link #freeze()} holds all bytes back until {@link #heal()}, and
- * {@link #dropEstablished()} permanently discards all bytes of the connections established so far while new ones work.
- * Thread-safe.
+ * <p>Five failures can be simulated: {@link #cut()} closes all connections and refuses new ones, {@link #drop()}
+ * discards all bytes while connections stay open, {@link #freeze()} holds all bytes back until {@link #heal()},
+ * {@link #freezeReplies()} those from the target only, and {@link #dropEstablished()} permanently discards all bytes of
+ * the connections established so far while new ones work. Thread-safe.
  *
  * @since 0.1
  */
@@ -28,6 +28,7 @@
     private final ExecutorService executor = Executors.newCachedThreadPool(TcpRelay::daemonThread);
     private final Set<RelayedConnection> connections = ConcurrentHashMap.newKeySet();
     private final RelayGate gate = new RelayGate();
+    private final RelayGate replyGate = new RelayGate();
     private final AtomicLong accepted = new AtomicLong();
     private final AtomicLong failedAccepts = new AtomicLong();
 
@@ -87,6 +88,11 @@
         gate.set(RelayGate.Mode.FROZEN);
     }
 
+    /** Holds back all bytes from the target, of connections established and new, until {@link #heal()}. */
+    public void freezeReplies() {
+        replyGate.set(RelayGate.Mode.FROZEN);
+    }
+
     /** Discards all further bytes of the connections established so far without closing them. New connections work. */
     public void dropEstablished() {
         connections.forEach(RelayedConnection::dropTraffic);
@@ -95,6 +101,7 @@
     /** Ends a cut, a freeze or a drop. Connections that have lost bytes remain silent. */
     public void heal() {
         gate.set(RelayGate.Mode.PASSING);
+        replyGate.set(RelayGate.Mode.PASSING);
     }
 
     /**
@@ -131,7 +138,7 @@
             client.close();
             return;
         }
-        RelayedConnection connection = RelayedConnection.of(client, gate);
+        RelayedConnection connection = RelayedConnection.of(client, gate, replyGate);
         connections.add(connection);
         if (gate.mode() == RelayGate.Mode.DROPPING) {
             connection.dropTraffic();
