Refuse calls while a commit of another call is unresolved

FullDiskMajorityTests failed: the first submission after the disks are full stays unresolved, so the scheduler can't rule out earlier attempts, and later calls waited for their deadlines.

--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobGateway.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobGateway.java
@@ -349,16 +349,21 @@
             WaxwingheadException failure = WaxwingheadException.of(refused.kind(), refused.reason(), refused.remedy());
             return complete(call, refused.kind().code(), () -> call.result.completeExceptionally(failure));
         }
+        return retryWhileCommitsMayResume(call, refused.reason());
+    }
+
+    /** Makes a call wait that has not run since its scheduler can't commit, or refuses it if that lasts. */
+    private Runnable retryWhileCommitsMayResume(RoutedCall call, String reason) {
         long now = ticker.nanos();
         if (!call.cannotCommit) {
             call.cannotCommit = true;
             call.cannotCommitSinceNanos = now;
         }
         if (now - call.cannotCommitSinceNanos >= STORE_RECOVERY_NANOS) {
-            call.reason = refused.reason();
+            call.reason = reason;
             return giveUp(call, GatewayEvents.Refusal.CANNOT_COMMIT);
         }
-        return retry(call, refused.reason());
+        return retry(call, reason);
     }
 
     private void fail(RoutedCall call, int attempt, HostId from, WaxwingheadException failure) {
@@ -373,10 +378,7 @@
                 if (kind == ErrorKind.UNKNOWN_OUTCOME) {
                     call.markUncertain();
                 }
-                // A failure that is no refusal says nothing about earlier attempts.
-                action = noAnswer || call.mayHaveRun
-                        ? retry(call, failure.reason())
-                        : complete(call, kind.code(), () -> call.result.completeExceptionally(failure));
+                action = failLatest(call, failure, noAnswer);
             }
         }
         if (latest && noAnswer) {
@@ -386,6 +388,16 @@
         scheduleCheckIfWaiting();
     }
 
+    private Runnable failLatest(RoutedCall call, WaxwingheadException failure, boolean noAnswer) {
+        if (failure.kind() == ErrorKind.NO_MAJORITY && !call.mayHaveRun) {
+            return retryWhileCommitsMayResume(call, failure.reason());
+        }
+        // A failure that is no refusal says nothing about earlier attempts.
+        return noAnswer || call.mayHaveRun
+                ? retry(call, failure.reason())
+                : complete(call, failure.kind().code(), () -> call.result.completeExceptionally(failure));
+    }
+
     private void scheduleCheckIfWaiting() {
         if (waitingCalls() > 0) {
             scheduleCheck();
--- a/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/jobs/JobGatewayElectionTests.java
+++ b/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/jobs/JobGatewayElectionTests.java
@@ -382,6 +382,25 @@
         }
     }
 
+    @Nested
+    class DisksThatRefuseWritesAfterAnUnknownCommit {
+        /** Guards against calls that are held because the outcome of another call's commit is unknown. */
+        @Test
+        void leadToARefusalWithinASecond() {
+            core.host(FIRST).storeFails = true;
+            CompletableFuture<JobAnswer> unresolved = submit("a1");
+            advance(10);
+            core.host(FIRST).storeFails = false;
+            core.host(FIRST).refusesProposals = Optional.of(ErrorKind.NO_MAJORITY);
+            CompletableFuture<JobAnswer> answer = submit("a2");
+            advance(1000);
+            assertFailed(answer, ErrorKind.UNAVAILABLE);
+            assertThat(unresolved.isDone()).isFalse();
+            advance(CALLER_TIME.toMillis());
+            assertFailed(unresolved, ErrorKind.UNKNOWN_OUTCOME);
+        }
+    }
+
     @Nested
     class BurstDuringAnElection {
         private static final int CALLS = 1000;
