--- a/waxwinghead-cli/src/main/java/dev/waxwinghead/cli/CliMain.java
+++ b/waxwinghead-cli/src/main/java/dev/waxwinghead/cli/CliMain.java
@@ -5,7 +5,8 @@
 /**
  * Entry point of {@code waxwinghead}.
  *
- * <p>The exit status is 0 for success, 2 for invalid arguments and otherwise that of the kind of error.
+ * <p>The exit status is 0 for success, 2 for invalid arguments and otherwise that of the kind of error. {@code config
+ * check} has exit statuses of its own.
  *
  * @since 0.1
  * @see dev.waxwinghead.model.error.ErrorKind#exitStatus
--- a/waxwinghead-cli/src/main/java/dev/waxwinghead/cli/CommandLine.java
+++ b/waxwinghead-cli/src/main/java/dev/waxwinghead/cli/CommandLine.java
@@ -11,6 +11,7 @@
 import dev.waxwinghead.cli.command.CancelCommand;
 import dev.waxwinghead.cli.command.CliCommand;
 import dev.waxwinghead.cli.command.CommandContext;
+import dev.waxwinghead.cli.command.ConfigCheckCommand;
 import dev.waxwinghead.cli.command.DeleteCommand;
 import dev.waxwinghead.cli.command.DescribeCommand;
 import dev.waxwinghead.cli.command.DrainCommand;
@@ -68,7 +69,7 @@
         try {
             CommandResult result = command.run(context);
             output.print(command.format().show(result));
-            return 0;
+            return result.exitStatus();
         } catch (UsageException e) {
             return showUsage(e.problems());
         } catch (WaxwingheadException e) {
@@ -125,6 +126,9 @@
         builder.withGroup("members")
                 .withDescription("Changes the group of entry hosts that vote")
                 .withCommand(RemoveMemberCommand.class);
+        builder.withGroup("config")
+                .withDescription("Checks manifests without applying them")
+                .withCommand(ConfigCheckCommand.class);
         builder.withGroup("explain")
                 .withDescription("Explains what happened from collected logs")
                 .withCommand(ExplainJobCommand.class);
--- a/waxwinghead-cli/src/main/java/dev/waxwinghead/cli/command/ApplyCommand.java
+++ b/waxwinghead-cli/src/main/java/dev/waxwinghead/cli/command/ApplyCommand.java
@@ -8,15 +8,8 @@
 import dev.waxwinghead.cli.client.OperatorClient;
 import dev.waxwinghead.cli.output.CommandResult;
 import dev.waxwinghead.cli.output.OutputFormat;
-import dev.waxwinghead.model.error.ErrorKind;
-import dev.waxwinghead.model.error.WaxwingheadException;
 import dev.waxwinghead.model.id.ChangeId;
 import dev.waxwinghead.model.manifest.Manifests;
-import java.io.IOException;
-import java.io.InputStream;
-import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -27,8 +20,6 @@
  */
 @Command(name = "apply", description = "Puts the manifests of a YAML file in force, all or none")
 public final class ApplyCommand implements CliCommand {
-    private static final String STANDARD_INPUT = "-";
-
     @AirlineModule
     ConnectionOptions connection = new ConnectionOptions();
 
@@ -54,7 +45,7 @@
         ChangeId changeId = change.changeId(problems);
         Long expected = revision.expectedRevision(problems);
         OperatorClient client = connection.client(context, problems);
-        String text = read(context.input());
+        String text = FileText.read(file, context.input());
         List<String> keys = Manifests.readYaml(text).stream()
                 .map(manifest -> manifest.key().toString())
                 .toList();
@@ -62,25 +53,6 @@
         return ChangeBody.result(response, changeId, "applied", keys);
     }
 
-    private String read(InputStream standardInput) {
-        try (InputStream input = file.equals(STANDARD_INPUT) ? standardInput : Files.newInputStream(Path.of(file))) {
-            byte[] bytes = input.readNBytes(Manifests.MAX_TEXT_CHARACTERS + 1);
-            if (bytes.length > Manifests.MAX_TEXT_CHARACTERS) {
-                throw WaxwingheadException.of(
-                        ErrorKind.TOO_LARGE,
-                        file + " has more than " + Manifests.MAX_TEXT_CHARACTERS + " bytes",
-                        "split it into several files");
-            }
-            return new String(bytes, StandardCharsets.UTF_8);
-        } catch (IOException e) {
-            throw WaxwingheadException.of(
-                    ErrorKind.INVALID_INPUT,
-                    file + " can't be read",
-                    "give a readable file, or - for the standard input",
-                    e);
-        }
-    }
-
     @Override
     public OutputFormat format() {
         return connection.format();
--- a/waxwinghead-cli/src/test/java/dev/waxwinghead/cli/CommandLineTests.java
+++ b/waxwinghead-cli/src/test/java/dev/waxwinghead/cli/CommandLineTests.java
@@ -90,6 +90,8 @@
                     "drain worker w1 --dry-run",
                     "undrain worker w1",
                     "undrain data-centre",
+                    "config check",
+                    "config check - --output xml",
                     "cancel",
                     "members remove",
                     "shout",
@@ -141,7 +143,8 @@
                     "drain",
                     "undrain",
                     "cancel",
-                    "members remove"
+                    "members remove",
+                    "config check"
                 })
         void showsHelpOfEachCommand(String command) {
             int status = run((command + " --help").split(" ", -1));
@@ -385,4 +388,68 @@
             assertThat(run("get", "data-centre", "dc9")).isEqualTo(4);
         }
     }
+
+    /** Guards against a check that applies the file, or whose exit status hides a finding. */
+    @Nested
+    class ConfigCheck {
+        private static final String INVALID = JOB.replace("tasks: 2", "tasks: 0");
+
+        @Test
+        void exitsWithStatusZeroWithoutFindings() {
+            assertThat(run("config", "check", "-")).isEqualTo(0);
+            assertThat(output()).isEqualTo("0 findings\n");
+            assertThat(host.bodies()).isEmpty();
+        }
+
+        @Test
+        void exitsWithStatusOneAndNamesTheLineAndTheRemedy() {
+            assertThat(runWith(INVALID, host.port(), "config", "check", "-")).isEqualTo(1);
+            assertThat(output()).isEqualTo("-:4: invalid: tasks is 0; give a value from 1 to 100000\n1 finding\n");
+        }
+
+        @ParameterizedTest
+        @ValueSource(strings = {"", "kind: {Job"})
+        void exitsWithStatusTwoForATextThatIsNoManifest(String text) {
+            assertThat(runWith(text, host.port(), "config", "check", "-")).isEqualTo(2);
+        }
+
+        @Test
+        void exitsWithStatusTwoForAMissingFile() {
+            assertThat(run("config", "check", "/no/such/file", "--output", "json"))
+                    .isEqualTo(2);
+            assertThat(output()).contains("\"error\" : \"invalid-input\"");
+        }
+
+        @Test
+        void showsFindingsAsJson() throws IOException {
+            assertThat(runWith(INVALID, host.port(), "config", "check", "-", "--output", "json"))
+                    .isEqualTo(1);
+
+            JsonNode finding =
+                    new ObjectMapper().readTree(output()).path("findings").path(0);
+            assertThat(finding.path("line").asInt()).isEqualTo(4);
+            assertThat(finding.path("kind").asText()).isEqualTo("invalid");
+            assertThat(finding.path("remedy").asText()).isEqualTo("give a value from 1 to 100000");
+        }
+
+        @Test
+        void comparesWithTheConfigurationInForce() {
+            host.reply("/v1/configuration", 200, """
+                    {"revision": 5, "entries": [{"key": "Quota/seating", "revision": 4, "manifest": {"kind": "Quota",
+                     "name": "seating", "limit": {"millicores": 1, "memoryBytes": 1, "accelerators": 0},
+                     "mayBorrow": false}}]}""");
+
+            assertThat(run("config", "check", "-", "--against-current")).isEqualTo(1);
+
+            assertThat(output()).contains("-:1: contradiction: Job/nightly: a task needs 500 millicores");
+            assertThat(output()).contains("""
+
+                    compared with revision 5:
+                    added: Job/nightly
+                    changed: -
+                    unchanged: -
+                    onlyInForce: Quota/seating
+                    """);
+        }
+    }
 }
