--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobCodec.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobCodec.java
@@ -2,6 +2,7 @@
 
 import dev.waxwinghead.daemon.classes.JobClassCodec;
 import dev.waxwinghead.daemon.codec.MessagePackCodec;
+import dev.waxwinghead.model.id.DataCentreId;
 import dev.waxwinghead.model.id.HostId;
 import dev.waxwinghead.model.id.JobId;
 import dev.waxwinghead.model.id.WorkerId;
@@ -28,6 +29,8 @@
     private static final int ACCEPT = 2;
     private static final int CANCEL = 3;
     private static final int ADVANCE = 4;
+    private static final int DRAIN = 5;
+    private static final int UNDRAIN = 6;
     private static final int STARTED = 1;
     private static final int ENDED = 2;
     private static final int FORGOTTEN = 3;
@@ -115,6 +118,10 @@
         } else if (command instanceof JobCommand.Advance advance) {
             packer.packInt(ADVANCE);
             packAdvance(packer, advance);
+        } else if (command instanceof JobCommand.Drain drain) {
+            packer.packInt(DRAIN).packString(drain.dataCentre().value());
+        } else if (command instanceof JobCommand.Undrain undrain) {
+            packer.packInt(UNDRAIN).packString(undrain.dataCentre().value());
         }
     }
 
@@ -125,6 +132,8 @@
             case ACCEPT -> unpackAccept(unpacker);
             case CANCEL -> new JobCommand.Cancel(JobId.of(unpacker.unpackString()));
             case ADVANCE -> unpackAdvance(unpacker);
+            case DRAIN -> new JobCommand.Drain(DataCentreId.of(unpacker.unpackString()));
+            case UNDRAIN -> new JobCommand.Undrain(DataCentreId.of(unpacker.unpackString()));
             default -> throw new IOException("unknown command type " + type);
         };
     }
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobSection.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobSection.java
@@ -3,6 +3,7 @@
 import dev.waxwinghead.daemon.codec.MessagePackCodec;
 import dev.waxwinghead.daemon.state.SectionId;
 import dev.waxwinghead.daemon.state.StateSection;
+import dev.waxwinghead.model.id.DataCentreId;
 import dev.waxwinghead.model.id.JobId;
 import dev.waxwinghead.scheduling.job.JobCommand;
 import dev.waxwinghead.scheduling.job.JobOutcome;
@@ -58,6 +59,8 @@
                 MessagePackCodec.list(packer, suspects(), this::packSuspect);
                 MessagePackCodec.list(packer, runningGangs(), this::packGangAttempt);
                 MessagePackCodec.list(packer, notBegun(), (out, job) -> out.packString(job.value()));
+                MessagePackCodec.list(
+                        packer, table.drainedDataCentres(), (out, dataCentre) -> out.packString(dataCentre.value()));
             });
         }
     }
@@ -81,6 +84,10 @@
                     MessagePackCodec.list(unpacker, in -> JobId.of(in.unpackString()))
                             .forEach(table::restoreNotBegun);
                 }
+                if (unpacker.hasNext()) {
+                    MessagePackCodec.list(unpacker, in -> DataCentreId.of(in.unpackString()))
+                            .forEach(table::restoreDrained);
+                }
                 return epoch;
             });
         }
--- a/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/jobs/JobSectionTests.java
+++ b/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/jobs/JobSectionTests.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import dev.waxwinghead.model.id.DataCentreId;
 import dev.waxwinghead.model.id.HostId;
 import dev.waxwinghead.model.id.JobClassName;
 import dev.waxwinghead.model.id.JobId;
@@ -10,6 +11,7 @@
 import dev.waxwinghead.model.resource.Resources;
 import dev.waxwinghead.scheduling.job.CheckpointRecency;
 import dev.waxwinghead.scheduling.job.JobCommand;
+import dev.waxwinghead.scheduling.job.JobOutcome;
 import dev.waxwinghead.scheduling.job.JobRecord;
 import dev.waxwinghead.scheduling.job.JobSchedule;
 import dev.waxwinghead.scheduling.job.JobState;
@@ -37,6 +39,7 @@
     private static final int CRASHES_BYTES = 1;
     private static final int GANGS_BYTES = 23;
     private static final int NOT_BEGUN_BYTES = 1;
+    private static final int DRAINED_BYTES = 1;
 
     /** A gang of four whose members run, in a snapshot without the list of gangs. */
     private static final String EARLIER_RUNNING =
@@ -110,7 +113,8 @@
     void restoresASnapshotWithoutTheListsOfLaterVersions() {
         fill();
         byte[] snapshot = section.snapshot();
-        byte[] earlier = Arrays.copyOf(snapshot, snapshot.length - CRASHES_BYTES - GANGS_BYTES - NOT_BEGUN_BYTES);
+        byte[] earlier = Arrays.copyOf(
+                snapshot, snapshot.length - CRASHES_BYTES - GANGS_BYTES - NOT_BEGUN_BYTES - DRAINED_BYTES);
         JobSection restored = new JobSection();
         restored.restore(earlier);
         assertThat(restored.snapshot()).hasLength(snapshot.length + "saved".length());
@@ -139,6 +143,59 @@
                 .isEqualTo(JobState.QUEUED);
     }
 
+    /** Guards against a drain that is forgotten with the part of the log that a snapshot replaces. */
+    @Nested
+    class DrainedDataCentres {
+        private static final DataCentreId A = DataCentreId.of("dc-a");
+        private static final DataCentreId B = DataCentreId.of("dc-b");
+
+        @Test
+        void areRestoredFromASnapshot() {
+            fill();
+            apply(new JobCommand.Drain(B));
+            apply(new JobCommand.Drain(A));
+            JobSection restored = new JobSection();
+            restored.restore(section.snapshot());
+            assertThat(restored.table().drainedDataCentres()).containsExactly(A, B);
+            assertThat(restored.snapshot()).isEqualTo(section.snapshot());
+        }
+
+        /** Guards against replicas whose snapshots differ because the drains were applied in another order. */
+        @Test
+        void haveASnapshotThatDoesNotDependOnTheOrderOfTheDrains() {
+            apply(new JobCommand.Drain(A));
+            apply(new JobCommand.Drain(B));
+            JobSection other = new JobSection();
+            other.apply(1, JobCodec.pack(new JobCommand.Drain(B)));
+            other.apply(2, JobCodec.pack(new JobCommand.Drain(A)));
+            assertThat(other.snapshot()).isEqualTo(section.snapshot());
+        }
+
+        @Test
+        void areNoneInASnapshotOfAnEarlierVersion() {
+            fill();
+            byte[] snapshot = section.snapshot();
+            apply(new JobCommand.Drain(A));
+            section.restore(Arrays.copyOf(snapshot, snapshot.length - DRAINED_BYTES));
+            assertThat(section.table().drainedDataCentres()).isEmpty();
+            assertThat(section.snapshot()).isEqualTo(snapshot);
+        }
+
+        @Test
+        void areChangedByRepeatedCommandsOnce() {
+            assertThat(outcome(new JobCommand.Undrain(A))).isEqualTo(JobOutcome.REPEATED);
+            assertThat(outcome(new JobCommand.Drain(A))).isEqualTo(JobOutcome.APPLIED);
+            assertThat(outcome(new JobCommand.Drain(A))).isEqualTo(JobOutcome.REPEATED);
+            assertThat(section.table().drainedDataCentres()).containsExactly(A);
+            assertThat(outcome(new JobCommand.Undrain(A))).isEqualTo(JobOutcome.APPLIED);
+            assertThat(section.table().drainedDataCentres()).isEmpty();
+        }
+
+        private JobOutcome outcome(JobCommand command) {
+            return JobCodec.unpackOutcome(section.apply(++index, JobCodec.pack(command)));
+        }
+    }
+
     /** Guards against members of a gang that are started from different checkpoints. */
     @Nested
     class Gangs {
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/JobCommand.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/JobCommand.java
@@ -1,5 +1,6 @@
 package dev.waxwinghead.scheduling.job;
 
+import dev.waxwinghead.model.id.DataCentreId;
 import dev.waxwinghead.model.id.HostId;
 import dev.waxwinghead.model.id.JobId;
 import java.util.List;
@@ -33,6 +34,23 @@
      */
     record Cancel(JobId job) implements JobCommand {}
 
+    /**
+     * Drains a data centre: until it is undrained, no task starts on its workers. The command has no effect if the data
+     * centre is drained.
+     *
+     * @param dataCentre the data centre
+     * @since 0.4
+     */
+    record Drain(DataCentreId dataCentre) implements JobCommand {}
+
+    /**
+     * Reverts the drain of a data centre. The command has no effect if the data centre is not drained.
+     *
+     * @param dataCentre the data centre
+     * @since 0.4
+     */
+    record Undrain(DataCentreId dataCentre) implements JobCommand {}
+
     /**
      * Applies transitions if the epoch is that of the acting scheduler.
      *
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/JobOutcome.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/JobOutcome.java
@@ -8,7 +8,10 @@
 public enum JobOutcome {
     /** The command took effect. */
     APPLIED(1),
-    /** The job was accepted before, or had ended before the cancellation; nothing changed. */
+    /**
+     * The job was accepted before, or had ended before the cancellation, or the data centre was drained or undrained
+     * before; nothing changed.
+     */
     REPEATED(2),
     /** The job to cancel was not known; it will not run if it is accepted later. */
     UNKNOWN_JOB(3),
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/JobTable.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/JobTable.java
@@ -1,5 +1,6 @@
 package dev.waxwinghead.scheduling.job;
 
+import dev.waxwinghead.model.id.DataCentreId;
 import dev.waxwinghead.model.id.JobClassName;
 import dev.waxwinghead.model.id.JobId;
 import java.util.Collection;
@@ -12,6 +13,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeSet;
 
 /**
  * Holds all jobs and applies commands to them. The table is a deterministic state machine: the same commands in the
@@ -33,6 +35,9 @@
     private final Set<JobId> canceledBeforeArrival = new LinkedHashSet<>();
     private final Map<WorkerIncarnation, Set<RunKey>> runs = new HashMap<>();
     private final Map<JobClassName, Integer> queued = new HashMap<>();
+    /** Ordered, so that equal sets have equal snapshots. */
+    private final Set<DataCentreId> drainedDataCentres = new TreeSet<>();
+
     private long epoch;
 
     private JobTable() {}
@@ -64,6 +69,12 @@
         if (command instanceof JobCommand.Cancel cancel) {
             return cancel(cancel.job());
         }
+        if (command instanceof JobCommand.Drain drain) {
+            return drainedDataCentres.add(drain.dataCentre()) ? JobOutcome.APPLIED : JobOutcome.REPEATED;
+        }
+        if (command instanceof JobCommand.Undrain undrain) {
+            return drainedDataCentres.remove(undrain.dataCentre()) ? JobOutcome.APPLIED : JobOutcome.REPEATED;
+        }
         return advance((JobCommand.Advance) command);
     }
 
@@ -113,6 +124,16 @@
         return Collections.unmodifiableSet(canceledBeforeArrival);
     }
 
+    /**
+     * Returns the drained data centres, on whose workers no task may start.
+     *
+     * @return the data centres in the order of their ids; a live view
+     * @since 0.4
+     */
+    public Set<DataCentreId> drainedDataCentres() {
+        return Collections.unmodifiableSet(drainedDataCentres);
+    }
+
     /**
      * Returns the runs that may be running on a worker.
      *
@@ -323,6 +344,7 @@
         canceledBeforeArrival.clear();
         runs.clear();
         queued.clear();
+        drainedDataCentres.clear();
         epoch = 0;
     }
 
@@ -401,6 +423,16 @@
         jobs.get(member.job()).step(member).restoreGangAttempt(startCheckpoint, recency);
     }
 
+    /**
+     * Restores that a data centre is drained.
+     *
+     * @param dataCentre the data centre
+     * @since 0.4
+     */
+    public void restoreDrained(DataCentreId dataCentre) {
+        drainedDataCentres.add(dataCentre);
+    }
+
     /**
      * Holds a task of a table that is being restored.
      *
--- a/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/TableSnapshot.java
+++ b/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/TableSnapshot.java
@@ -1,5 +1,6 @@
 package dev.waxwinghead.scheduling.job;
 
+import dev.waxwinghead.model.id.DataCentreId;
 import dev.waxwinghead.model.id.JobId;
 import java.util.ArrayList;
 import java.util.List;
@@ -8,11 +9,13 @@
 final class TableSnapshot {
     private final long epoch;
     private final List<JobId> canceled;
+    private final List<DataCentreId> drained;
     private final List<Job> jobs = new ArrayList<>();
 
     private TableSnapshot(JobTable table) {
         this.epoch = table.epoch();
         this.canceled = List.copyOf(table.canceledBeforeArrival());
+        this.drained = List.copyOf(table.drainedDataCentres());
         table.all().forEach(job -> jobs.add(new Job(job)));
     }
 
@@ -23,6 +26,7 @@
     void restore(JobTable table) {
         table.clear();
         table.restore(epoch, canceled);
+        drained.forEach(table::restoreDrained);
         for (Job job : jobs) {
             table.restore(job.accept, job.state, job.tasks);
             job.crashes.forEach(crashed -> table.restoreCrashes(crashed.task(), crashed.crashes()));
