Start no task in a drained data centre

The drain is a command to the job table, so any scheduler that acts knows it. Starts that were committed before and not sent yet are withdrawn and end as never started. Cold workers are the last choice, and jobs that can run only in a drained data centre wait with that reason.

--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobCodec.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobCodec.java
@@ -18,6 +18,7 @@
 import dev.waxwinghead.scheduling.job.TaskKey;
 import dev.waxwinghead.scheduling.job.WorkerIncarnation;
 import java.io.IOException;
+import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
 import org.msgpack.core.MessageBufferPacker;
@@ -61,6 +62,20 @@
         return JobOutcome.ofCode(bytes[0]);
     }
 
+    /** Encodes the outcome of a drain or undrain as {@link #pack(JobOutcome)} does, followed by its index. */
+    static byte[] pack(DrainResult result) {
+        return ByteBuffer.allocate(1 + Long.BYTES)
+                .put((byte) result.outcome().code())
+                .putLong(result.index())
+                .array();
+    }
+
+    static DrainResult unpackDrainResult(byte[] bytes) {
+        ByteBuffer buffer = ByteBuffer.wrap(bytes);
+        JobOutcome outcome = JobOutcome.ofCode(buffer.get());
+        return new DrainResult(buffer.getLong(), outcome);
+    }
+
     static void packAccept(MessageBufferPacker packer, JobCommand.Accept accept) throws IOException {
         packSubmission(packer, accept.submission());
         JobClassCodec.packTerms(packer, accept.terms());
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobEngine.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobEngine.java
@@ -245,6 +245,13 @@
         }
     }
 
+    /** Returns the number of drained data centres that this host knows of, whether it acts or not. */
+    int drainedDataCentres() {
+        synchronized (table) {
+            return table.drainedDataCentres().size();
+        }
+    }
+
     /** Records that a worker exits. Returns false if this host does not act. */
     boolean workerExited(WorkerId worker, OptionalLong startedEpochMillis) {
         synchronized (table) {
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobHost.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobHost.java
@@ -53,6 +53,7 @@
     private final JobHostSettings settings;
     private final ReplicaNode log;
     private final JobClassService classes;
+    private final DataCentreDrains drains;
     private final JobEngine engine;
     private final JobService service;
     private final JobClassSection classSection;
@@ -62,6 +63,7 @@
             JobHostSettings settings,
             ReplicaNode log,
             JobClassService classes,
+            DataCentreDrains drains,
             JobEngine engine,
             JobService service,
             JobClassSection classSection,
@@ -69,6 +71,7 @@
         this.settings = settings;
         this.log = log;
         this.classes = classes;
+        this.drains = drains;
         this.engine = engine;
         this.service = service;
         this.classSection = classSection;
@@ -123,6 +126,7 @@
                 ticker,
                 System::currentTimeMillis));
         meters.gauge("waxwinghead.job.workers.quarantined", engine, JobEngine::quarantinedWorkers);
+        meters.gauge("waxwinghead.job.data.centres.drained", engine, JobEngine::drainedDataCentres);
         meters.gauge("waxwinghead.job.room.unlisted.millicores", engine, JobEngine::unlistedMillicores);
         jobs.onChange(engine::wake);
         JobService service = new JobService(
@@ -133,8 +137,15 @@
                 () -> leaderInContact(log.status()),
                 ticker,
                 System::currentTimeMillis);
-        JobHost host =
-                new JobHost(settings, log, JobClassService.of(sharedState, classes), engine, service, classes, closer);
+        JobHost host = new JobHost(
+                settings,
+                log,
+                JobClassService.of(sharedState, classes),
+                DataCentreDrains.of(sharedState),
+                engine,
+                service,
+                classes,
+                closer);
         host.registerHandlers(network, ticker);
         engine.start();
         return host;
@@ -200,6 +211,15 @@
         return classes;
     }
 
+    /**
+     * Returns the service that drains and undrains data centres.
+     *
+     * @return the service, never null
+     */
+    public DataCentreDrains drains() {
+        return drains;
+    }
+
     /**
      * Returns the host that leads the log.
      *
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobSection.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobSection.java
@@ -46,7 +46,8 @@
             outcome = table.apply(index, decoded);
         }
         listener.run();
-        return JobCodec.pack(outcome);
+        boolean drains = decoded instanceof JobCommand.Drain || decoded instanceof JobCommand.Undrain;
+        return drains ? JobCodec.pack(new DrainResult(index, outcome)) : JobCodec.pack(outcome);
     }
 
     @Override
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/ReportHandler.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/ReportHandler.java
@@ -21,7 +21,7 @@
     private static final long MIN_TRIAL_NANOS = TimeUnit.MILLISECONDS.toNanos(1100);
 
     /** The time to stop a task, to start it on another worker and to load its checkpoint. */
-    private static final double MOVE_MILLIS = 700;
+    static final double MOVE_MILLIS = 700;
 
     /** How many times longer a task must take on a slow worker than elsewhere to be moved. */
     private static final double MIN_MOVE_GAIN = 1.5;
@@ -119,6 +119,9 @@
 
     private void requestStops(WorkerEntry entry, long now) {
         entry.retainRuns(state.table().runsOn(entry.incarnation()));
+        if (state.drained(entry)) {
+            withdrawStarts(entry);
+        }
         for (RunKey run : state.table().runsOn(entry.incarnation())) {
             if (!entry.stopping().contains(run)) {
                 stopReason(entry, run, now).ifPresent(reason -> state.requestStop(entry, run, reason));
@@ -126,6 +129,21 @@
         }
     }
 
+    /**
+     * Withdraws the starts that the worker has not received yet. The worker is told to stop these runs, so that it
+     * refuses a start that still arrives.
+     */
+    private void withdrawStarts(WorkerEntry entry) {
+        for (RunKey run : state.table().runsOn(entry.incarnation())) {
+            boolean listed =
+                    entry.observations().containsKey(run) || entry.ends().containsKey(run);
+            if (!listed && !entry.stopping().contains(run)) {
+                entry.withdraw(run);
+                state.requestStop(entry, run, DrainMoves.STOP_REASON);
+            }
+        }
+    }
+
     private void recordOverdueRuns(WorkerEntry entry, long now) {
         for (RunKey run : entry.newlyOverdue(state.table().runsOn(entry.incarnation()), now)) {
             boolean sent = entry.wasStartSent(run);
@@ -219,6 +237,9 @@
         Set<RunKey> ended = new HashSet<>();
         entry.report().ended().forEach(end -> ended.add(end.run()));
         List<WorkerInstructions.Start> starts = new ArrayList<>();
+        if (state.drained(entry)) {
+            return starts;
+        }
         for (RunKey run : state.table().runsOn(entry.incarnation())) {
             boolean reported = entry.observations().containsKey(run) || ended.contains(run);
             if (!reported && !entry.stopping().contains(run) && !state.ending(run)) {
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/SchedulerState.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/SchedulerState.java
@@ -206,6 +206,15 @@
         return residents;
     }
 
+    /** Returns whether a worker is in a drained data centre by its latest report. */
+    boolean drained(WorkerEntry entry) {
+        return !table.drainedDataCentres().isEmpty()
+                && entry.report()
+                        .dataCentre()
+                        .filter(table.drainedDataCentres()::contains)
+                        .isPresent();
+    }
+
     /** Marks a run to be stopped by its worker with the next answers. */
     void requestStop(WorkerEntry entry, RunKey run, String reason) {
         if (entry.stopping().add(run)) {
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TaskPlacer.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TaskPlacer.java
@@ -39,11 +39,18 @@
     /** The share of free capacity from which no job may be left without a running task: one half less a margin. */
     private static final double MOSTLY_FREE_SHARE = 0.45;
 
+    /**
+     * Outweighs every score, so that a worker that has just started and runs tasks slowly is chosen only if no other
+     * worker is eligible.
+     */
+    private static final double COLD_PENALTY = 1e9;
+
     private final WorkerHealth<JobId, TaskKey> health;
     private final SlowWorkerDetector slowWorkers;
     private final InterferenceControl interference;
     private final long now;
     private final Map<ServiceName, List<WorkerCapacity>> candidates = new HashMap<>();
+    private final DrainedWorkers drained = new DrainedWorkers();
 
     TaskPlacer(
             WorkerHealth<JobId, TaskKey> health,
@@ -62,6 +69,11 @@
                 .add(candidate);
     }
 
+    /** Adds a worker of a drained data centre, which gets no tasks but explains why tasks wait. */
+    void addDrained(WorkerEntry worker) {
+        drained.add(worker);
+    }
+
     /**
      * Ranks the workers for the tasks of a step, which are assigned before those of the next step.
      *
@@ -75,7 +87,7 @@
         return new RankedWorkers(
                 candidates.getOrDefault(service, List.of()),
                 candidate -> obstacle(candidate, job, step, perWorker).isEmpty(),
-                candidate -> score(candidate, step),
+                candidate -> score(candidate, step) - coldPenalty(candidate),
                 candidate -> allocate(candidate, step, perWorker),
                 candidate -> release(candidate, step, perWorker));
     }
@@ -94,7 +106,8 @@
                     .orElse(suspect ? WaitReason.WORKERS_RUN_SUSPECTS : closest);
             closest = obstacle.compareTo(closest) > 0 ? obstacle : closest;
         }
-        return closest;
+        List<WorkerCapacity> others = candidates.getOrDefault(service, List.of());
+        return drained.onlyOnesFor(service, step, others) ? WaitReason.DATA_CENTRE_DRAINED : closest;
     }
 
     /** Returns the eligible worker with the highest score, the first in case of a tie. */
@@ -106,7 +119,7 @@
             if (!eligible.test(candidate)) {
                 continue;
             }
-            double next = score.applyAsDouble(candidate);
+            double next = score.applyAsDouble(candidate) - coldPenalty(candidate);
             if (next > bestScore) {
                 best = candidate;
                 bestScore = next;
@@ -115,6 +128,10 @@
         return Optional.ofNullable(best);
     }
 
+    private double coldPenalty(WorkerCapacity candidate) {
+        return candidate.entry().cold(now) ? COLD_PENALTY : 0;
+    }
+
     private static void allocate(WorkerCapacity candidate, JobStep step, Map<WorkerId, Integer> perWorker) {
         candidate.allocate(step);
         perWorker.merge(candidate.entry().id(), 1, Integer::sum);
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TransitionPlanner.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TransitionPlanner.java
@@ -97,15 +97,15 @@
 
     /**
      * Ends runs that are to stop and that no answer can start any more: no report ever lists them, so they would keep
-     * their capacity. Limited to tasks that have no further run, which a late listing of the run could overlap.
+     * their capacity. Limited to tasks that have no further run, which a late listing of the run could overlap, and to
+     * starts that a drain has withdrawn for good.
      */
     private void planEndsOfUnstarted(List<JobTransition> plan) {
         for (WorkerEntry entry : state.workers().entries()) {
             for (RunKey run : entry.stopping()) {
                 if (plan.size() < MAX_TRANSITIONS
                         && state.table().isLive(entry.incarnation(), run)
-                        && !state.mayRunAgain(run.task())
-                        && entry.neverStarts(run, state.inherited(run))) {
+                        && neverStarts(entry, run)) {
                     plan.add(new JobTransition.Ended(run, RunEnd.INTERRUPTED, ""));
                     state.events().neverStarted(run, entry.incarnation());
                     state.recordEnd(run);
@@ -115,6 +115,12 @@
         }
     }
 
+    private boolean neverStarts(WorkerEntry entry, RunKey run) {
+        boolean inherited = state.inherited(run);
+        return entry.withdrawalIsFinal(run, inherited)
+                || (!state.mayRunAgain(run.task()) && entry.neverStarts(run, inherited));
+    }
+
     private void recordEnd(WorkerEntry entry, WorkerReport.EndedRun end, long now) {
         state.events().ended(end, entry.incarnation());
         state.recordEnd(end.run());
@@ -269,7 +275,11 @@
         for (WorkerEntry entry : state.workers().entries()) {
             state.health().review(entry.id(), now);
             if (acceptsTasks(entry, now)) {
-                placer.add(capacityOf(entry, ending, now));
+                if (state.drained(entry)) {
+                    placer.addDrained(entry);
+                } else {
+                    placer.add(capacityOf(entry, ending, now));
+                }
             }
         }
         return placer;
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/WaitReason.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/WaitReason.java
@@ -19,5 +19,7 @@
     /** No worker with capacity has serving tasks that tolerate another best-effort task. */
     SERVING_TASKS_NEAR_TARGET,
     /** All other workers were excluded, and those left run a task of another job under which a worker crashed. */
-    WORKERS_RUN_SUSPECTS
+    WORKERS_RUN_SUSPECTS,
+    /** Only workers of drained data centres could ever run the task. */
+    DATA_CENTRE_DRAINED
 }
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/WorkerEntry.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/WorkerEntry.java
@@ -21,10 +21,12 @@
     private final Map<RunKey, WorkerReport.EndedRun> ends = new LinkedHashMap<>();
     private final Set<RunKey> stopping = new HashSet<>();
     private final Map<RunKey, Long> startsSent = new HashMap<>();
+    private final Set<RunKey> withdrawn = new HashSet<>();
     private final UnlistedRuns unlisted = new UnlistedRuns();
     private WorkerReport report;
     private long firstOwnSequence = NO_SEQUENCE;
     private long reportedNanos;
+    private long coldUntilNanos;
     private long leaseEndNanos;
     private long learnedNanos;
     private long evictedNanos;
@@ -60,6 +62,7 @@
     void update(WorkerReport next, long now) {
         report = next;
         reportedNanos = now;
+        coldUntilNanos = now + TimeUnit.MILLISECONDS.toNanos(next.coldLeftMillis());
         awaitsAnswer = false;
         Map<RunKey, RunObservation> previous = new HashMap<>(observations);
         observations.clear();
@@ -102,8 +105,30 @@
         return startsSent.containsKey(run);
     }
 
+    /**
+     * Records that the start of a run that the worker has not listed is not sent any more. It stays so after an
+     * undrain, since the worker has been told to refuse the run.
+     */
+    void withdraw(RunKey run) {
+        withdrawn.add(run);
+    }
+
+    /**
+     * Returns whether a run whose start was withdrawn will never run on the worker, so that its task may run elsewhere.
+     *
+     * <p>A start that was sent may be on its way in an answer, so such a run must also be overdue in the reports. A
+     * start that was never sent needs no such time.
+     *
+     * @param inherited whether the run was started by an earlier scheduler, which may have sent the start
+     */
+    boolean withdrawalIsFinal(RunKey run, boolean inherited) {
+        boolean maySoonBeListed = inherited || startsSent.containsKey(run);
+        return withdrawn.contains(run) && neverStarts(run, inherited) && (!maySoonBeListed || overdue(run));
+    }
+
     /** Discards what was recorded for runs that have ended. */
     void retainRuns(Set<RunKey> live) {
+        withdrawn.retainAll(live);
         stopping.retainAll(live);
         startsSent.keySet().retainAll(live);
     }
@@ -193,6 +218,11 @@
         return exitAnnounced;
     }
 
+    /** Returns whether the worker has just started and still runs tasks slowly, by its latest report. */
+    boolean cold(long now) {
+        return now - coldUntilNanos < 0;
+    }
+
     boolean silentFor(long now, long boundNanos) {
         return now - reportedNanos > boundNanos;
     }
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/WorkerReport.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/WorkerReport.java
@@ -1,8 +1,10 @@
 package dev.waxwinghead.scheduling.job;
 
+import dev.waxwinghead.model.id.DataCentreId;
 import dev.waxwinghead.model.id.ServiceName;
 import dev.waxwinghead.model.resource.Resources;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 
 /**
@@ -19,6 +21,9 @@
  * @param remainingMillis the minimum time until a leaving worker exits, in milliseconds
  * @param running the running runs
  * @param ended the ends that were not acknowledged yet, by ascending number
+ * @param dataCentre the data centre of the worker; empty if the worker states none, so that no drain concerns it
+ * @param coldLeftMillis how long the worker runs tasks slowly from now on because it has just started, in milliseconds;
+ *     0 if it does not
  * @since 0.2
  */
 public record WorkerReport(
@@ -32,7 +37,9 @@
         boolean leaving,
         long remainingMillis,
         List<RunningTask> running,
-        List<EndedRun> ended) {
+        List<EndedRun> ended,
+        Optional<DataCentreId> dataCentre,
+        long coldLeftMillis) {
     /** Copies the collections. */
     public WorkerReport {
         labels = Set.copyOf(labels);
@@ -40,6 +47,49 @@
         ended = List.copyOf(ended);
     }
 
+    /**
+     * Creates the report of a worker that states no data centre and is not cold.
+     *
+     * @param incarnation the incarnation of the worker
+     * @param sequence a number that increases with each report of an incarnation
+     * @param service the service whose tasks the worker runs
+     * @param address the address on which the worker listens
+     * @param capacity the resources available for tasks
+     * @param labels the labels of the worker
+     * @param rack the rack of the worker, empty if unknown
+     * @param leaving whether the worker is shutting down and accepts no new tasks
+     * @param remainingMillis the minimum time until a leaving worker exits, in milliseconds
+     * @param running the running runs
+     * @param ended the ends that were not acknowledged yet, by ascending number
+     */
+    public WorkerReport(
+            WorkerIncarnation incarnation,
+            long sequence,
+            ServiceName service,
+            String address,
+            Resources capacity,
+            Set<String> labels,
+            String rack,
+            boolean leaving,
+            long remainingMillis,
+            List<RunningTask> running,
+            List<EndedRun> ended) {
+        this(
+                incarnation,
+                sequence,
+                service,
+                address,
+                capacity,
+                labels,
+                rack,
+                leaving,
+                remainingMillis,
+                running,
+                ended,
+                Optional.empty(),
+                0);
+    }
+
     /**
      * Describes a run that is running.
      *
--- /dev/null
+++ b/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/DrainTests.java
@@ -0,0 +1,319 @@
+package dev.waxwinghead.scheduling.job;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import dev.waxwinghead.model.id.DataCentreId;
+import dev.waxwinghead.model.id.HostId;
+import dev.waxwinghead.model.resource.Resources;
+import dev.waxwinghead.scheduling.job.WorkerReport.EndedRun;
+import dev.waxwinghead.scheduling.job.WorkerReport.RunningTask;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** Plays drains of data centres on a table, its scheduler and the reports of workers with 4 cores each. */
+class DrainTests {
+    private static final SchedulerTimes TIMES = new SchedulerTimes(
+            Duration.ofSeconds(10), Duration.ofSeconds(1), Duration.ofSeconds(120), Duration.ofMillis(20));
+    private static final DataCentreId A = DataCentreId.of("dc-a");
+    private static final DataCentreId B = DataCentreId.of("dc-b");
+    private static final WorkerIncarnation A1 = JobFixtures.incarnation("a1", 1);
+    private static final WorkerIncarnation B1 = JobFixtures.incarnation("b1", 1);
+
+    private final JobTable table = JobTable.create();
+    private final RecordedEvents events = new RecordedEvents();
+    private final Map<WorkerIncarnation, Long> sequences = new HashMap<>();
+    private final Map<WorkerIncarnation, Map<RunKey, Integer>> percents = new HashMap<>();
+    private final Map<WorkerIncarnation, Long> coldLeftMillis = new HashMap<>();
+    private JobScheduler scheduler = newScheduler();
+    private long index;
+    private long now = TimeUnit.SECONDS.toNanos(1000);
+
+    @BeforeEach
+    void acquire() {
+        table.apply(++index, new JobCommand.Acquire(HostId.of("h1")));
+        scheduler.takeOver(now);
+    }
+
+    /** Guards against tasks that start in a data centre that an operator has drained. */
+    @Nested
+    class Starts {
+        @Test
+        void areNotPlannedInADrainedDataCentre() {
+            drain(A);
+            accept("j1", JobFixtures.step(1, List.of()));
+            report(A1);
+            assertThat(plan()).isEmpty();
+            report(B1);
+            commit();
+            assertThat(table.runsOn(B1)).hasSize(1);
+        }
+
+        @Test
+        void arePlannedAgainAfterAnUndrain() {
+            drain(A);
+            accept("j1", JobFixtures.step(1, List.of()));
+            undrain(A);
+            report(A1);
+            commit();
+            assertThat(table.runsOn(A1)).hasSize(1);
+        }
+
+        /** A start that was committed before the drain and not sent yet ends as never started and runs elsewhere. */
+        @Test
+        void thatAreCommittedButNotSentAreNeverSent() {
+            accept("j1", JobFixtures.step(1, List.of()));
+            report(A1);
+            commit();
+            drain(A);
+            assertThat(report(A1).starts()).isEmpty();
+            report(B1);
+            commit();
+            assertThat(events.neverStarted).containsExactly(JobFixtures.run("j1", 0, 0, 1));
+            assertThat(table.runsOn(A1)).isEmpty();
+            commit();
+            assertThat(report(B1).starts()).hasSize(1);
+        }
+
+        /** The plan is made before the drain and committed after it. */
+        @Test
+        void thatAreCommittedAfterTheDrainAreNeverSent() {
+            accept("j1", JobFixtures.step(1, List.of()));
+            report(A1);
+            List<JobTransition> plan = plan();
+            drain(A);
+            commit(plan);
+            assertThat(report(A1).starts()).isEmpty();
+            commit();
+            assertThat(table.runsOn(A1)).isEmpty();
+        }
+
+        /** The answer to a held report is computed only when it is sent. */
+        @Test
+        void areLeftOutOfAnAnswerThatWasHeldBackDuringTheDrain() {
+            accept("j1", JobFixtures.step(1, List.of()));
+            ReportReceipt receipt = scheduler.receive(reportOf(A1), now).orElseThrow();
+            commit();
+            drain(A);
+            assertThat(scheduler.answer(receipt).orElseThrow().starts()).isEmpty();
+        }
+
+        /** A start whose answer may have been lost must not run beside its successor. */
+        @Test
+        void thatWereSentAndAreNotListedEndOnlyOnceTheyAreOverdue() {
+            accept("j1", JobFixtures.step(1, List.of()));
+            report(A1);
+            commit();
+            assertThat(report(A1).starts()).hasSize(1);
+            drain(A);
+            WorkerInstructions instructions = report(A1);
+            assertThat(instructions.starts()).isEmpty();
+            assertThat(instructions.stops()).containsExactly(JobFixtures.run("j1", 0, 0, 1));
+            commit();
+            assertThat(table.runsOn(A1)).hasSize(1);
+            for (int i = 0; i < 4; i++) {
+                now += TimeUnit.SECONDS.toNanos(1);
+                report(A1);
+            }
+            commit();
+            assertThat(table.runsOn(A1)).isEmpty();
+        }
+
+        @Test
+        void thatWereWithdrawnEndAlsoAfterAnUndrain() {
+            accept("j1", JobFixtures.step(1, List.of()));
+            report(A1);
+            commit();
+            drain(A);
+            report(A1);
+            undrain(A);
+            commit();
+            assertThat(events.neverStarted).hasSize(1);
+            assertThat(table.runsOn(A1)).isEmpty();
+        }
+
+        /** A newly elected scheduler knows the drain from the table alone. */
+        @Test
+        void thatAnEarlierSchedulerCommittedAreNotSentByItsSuccessor() {
+            accept("j1", JobFixtures.step(1, List.of()));
+            report(A1);
+            commit();
+            drain(A);
+            TableSnapshot.of(table).restore(table);
+            scheduler = newScheduler();
+            scheduler.takeOver(now);
+            for (int i = 0; i < 6; i++) {
+                assertThat(report(A1).starts()).isEmpty();
+                now += TimeUnit.SECONDS.toNanos(1);
+            }
+            commit();
+            assertThat(table.runsOn(A1)).isEmpty();
+        }
+
+        @Test
+        void onAWorkerWithoutADataCentreAreNotConcerned() {
+            drain(A);
+            accept("j1", JobFixtures.step(1, List.of()));
+            scheduler.report(JobFixtures.report(JobFixtures.incarnation("x", 1), 1, List.of(), List.of()), now);
+            assertThat(plan()).hasSize(1);
+        }
+    }
+
+    @Nested
+    class WaitingJobs {
+        @Test
+        void thatCanRunOnlyInADrainedDataCentreGiveThatReason() {
+            drain(A);
+            accept("j1", JobFixtures.step(1, List.of()));
+            report(A1);
+            planAgainAfterASecond();
+            assertThat(events.waits).containsExactly("j1 DATA_CENTRE_DRAINED");
+        }
+
+        /** Guards against a wait for capacity that is reported as one for an undrain. */
+        @Test
+        void thatFitAWorkerElsewhereOnceItHasRoomWaitForCapacity() {
+            accept("j1", JobFixtures.step(4, List.of()));
+            report(B1);
+            commit();
+            drain(A);
+            accept("j2", JobFixtures.step(1, List.of()));
+            report(A1);
+            planAgainAfterASecond();
+            assertThat(events.waits).containsExactly("j2 NO_CAPACITY");
+        }
+
+        @Test
+        void waitWhileAllDataCentresAreDrained() {
+            drain(A);
+            drain(B);
+            accept("j1", JobFixtures.step(1, List.of()));
+            report(A1);
+            report(B1);
+            planAgainAfterASecond();
+            assertThat(events.waits).containsExactly("j1 DATA_CENTRE_DRAINED");
+        }
+
+        /** Waits are reported from the second time on, a second after the first. */
+        private void planAgainAfterASecond() {
+            assertThat(plan()).isEmpty();
+            now += TimeUnit.SECONDS.toNanos(1);
+            assertThat(plan()).isEmpty();
+        }
+    }
+
+    /** Guards against tasks that are slowed down by a worker that has just started although another is warm. */
+    @Nested
+    class ColdWorkers {
+        @Test
+        void areTheLastChoice() {
+            coldLeftMillis.put(A1, 5000L);
+            accept("j1", JobFixtures.step(5, List.of()));
+            report(A1);
+            report(B1);
+            commit();
+            assertThat(table.runsOn(B1)).hasSize(4);
+            assertThat(table.runsOn(A1)).hasSize(1);
+        }
+
+        @Test
+        void areWarmOnceTheirTimeIsOver() {
+            coldLeftMillis.put(A1, 400L);
+            accept("j1", JobFixtures.step(4, List.of()));
+            report(A1);
+            report(B1);
+            now += TimeUnit.MILLISECONDS.toNanos(500);
+            commit();
+            assertThat(table.runsOn(A1)).hasSize(2);
+        }
+    }
+
+    private JobScheduler newScheduler() {
+        return JobScheduler.of(table, TIMES, service -> true, events);
+    }
+
+    private void accept(String id, JobStep... steps) {
+        table.apply(++index, JobFixtures.accept(id, steps));
+    }
+
+    private void drain(DataCentreId dataCentre) {
+        table.apply(++index, new JobCommand.Drain(dataCentre));
+    }
+
+    private void undrain(DataCentreId dataCentre) {
+        table.apply(++index, new JobCommand.Undrain(dataCentre));
+    }
+
+    private List<JobTransition> plan() {
+        return scheduler.plan(now, 0);
+    }
+
+    private void commit() {
+        commit(plan());
+    }
+
+    private void commit(List<JobTransition> plan) {
+        table.apply(++index, new JobCommand.Advance(table.epoch(), plan));
+    }
+
+    private WorkerInstructions report(WorkerIncarnation worker, EndedRun... ended) {
+        return scheduler.report(reportOf(worker, ended), now).orElseThrow();
+    }
+
+    private WorkerReport reportOf(WorkerIncarnation worker, EndedRun... ended) {
+        String id = worker.worker().value();
+        List<RunningTask> running = new ArrayList<>();
+        percents.getOrDefault(worker, Map.of())
+                .forEach((run, percent) -> running.add(new RunningTask(run, "saved", percent, 0)));
+        WorkerReport report = JobFixtures.report(
+                worker,
+                sequences.merge(worker, 1L, Long::sum),
+                "10.0.0.1:8" + (id.startsWith("a") ? 1 : 2) + id.substring(1),
+                false,
+                running,
+                List.of(ended));
+        return new WorkerReport(
+                worker,
+                report.sequence(),
+                report.service(),
+                report.address(),
+                Resources.of(4000, 100_000, 0),
+                report.labels(),
+                report.rack(),
+                false,
+                0,
+                running,
+                report.ended(),
+                Optional.of(id.startsWith("a") ? A : B),
+                coldLeftMillis.getOrDefault(worker, 0L));
+    }
+
+    /** Records the decisions that concern drains. */
+    private static final class RecordedEvents extends SilentListener {
+        private final List<RunKey> neverStarted = new ArrayList<>();
+        private final List<String> waits = new ArrayList<>();
+        private final List<String> stops = new ArrayList<>();
+
+        @Override
+        public void neverStarted(RunKey run, WorkerIncarnation worker) {
+            neverStarted.add(run);
+        }
+
+        @Override
+        public void waiting(JobRecord job, int step, WaitReason reason) {
+            waits.add(job.id() + " " + reason);
+        }
+
+        @Override
+        public void stopping(RunKey run, WorkerIncarnation worker, String reason) {
+            stops.add(run + " " + reason);
+        }
+    }
+}
--- a/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobSchedulerModelTests.java
+++ b/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobSchedulerModelTests.java
@@ -16,7 +16,7 @@
     @Test
     void roomEqualsWhatRunsAndTasksRunOnceAndInTime() {
         for (long seed = FIRST_SEED; seed < FIRST_SEED + HISTORIES; seed++) {
-            play(seed, false);
+            play(seed, false, false);
         }
     }
 
@@ -27,7 +27,18 @@
     @Test
     void holdsForAllKindsOfTasks() {
         for (long seed = FIRST_SEED; seed < FIRST_SEED + HISTORIES; seed++) {
-            play(seed, true);
+            play(seed, true, false);
+        }
+    }
+
+    /**
+     * Guards against starts in a drained data centre, also those that were committed before the drain, against tasks
+     * that run twice since a withdrawn start arrives late, and against room that a withdrawn start keeps.
+     */
+    @Test
+    void holdsForDrainsAtAnyMoment() {
+        for (long seed = FIRST_SEED; seed < FIRST_SEED + HISTORIES; seed++) {
+            play(seed, seed % 2 == 0, true);
         }
     }
 
@@ -35,19 +46,19 @@
     @ParameterizedTest
     @ValueSource(longs = {2, 228, 1847, 2535, 3030, 4124})
     void holdsForHistoriesThatFailedBefore(long seed) {
-        play(seed, false);
+        play(seed, false, false);
     }
 
     /** Guards against the faults of a gang that starts again (1058) and of a lasting task that does not (7). */
     @ParameterizedTest
     @ValueSource(longs = {7, 1058})
     void holdsForHistoriesOfAllKindsThatFailedBefore(long seed) {
-        play(seed, true);
+        play(seed, true, false);
     }
 
-    private static void play(long seed, boolean allKinds) {
+    private static void play(long seed, boolean allKinds, boolean withDrains) {
         try {
-            new ModelFleet(seed, Boolean.getBoolean("trace"), allKinds).run();
+            new ModelFleet(seed, Boolean.getBoolean("trace"), allKinds, withDrains).run();
         } catch (AssertionError e) {
             throw new AssertionError("seed " + seed + ": " + e.getMessage(), e);
         }
--- a/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/ModelFleet.java
+++ b/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/ModelFleet.java
@@ -1,5 +1,6 @@
 package dev.waxwinghead.scheduling.job;
 
+import dev.waxwinghead.model.id.DataCentreId;
 import dev.waxwinghead.model.id.HostId;
 import dev.waxwinghead.model.id.JobClassName;
 import dev.waxwinghead.model.id.JobId;
@@ -54,11 +55,19 @@
     private static final long CHECKED_MILLIS = 8000;
     private static final long FILLING_MILLICORES = 1000;
     private static final long NO_EPOCH = -1;
+    private static final List<DataCentreId> DATA_CENTRES = List.of(DataCentreId.of("dc-0"), DataCentreId.of("dc-1"));
+
+    /** The longest time from a report to the moment at which the worker obeys its answer. */
+    private static final long MAX_ANSWER_AGE_MILLIS = 1000;
 
     private final Random random;
     /** Draws what histories of all kinds of tasks have beyond the others, whose draws stay the same. */
     private final Optional<Random> kinds;
 
+    /** Draws the drains of data centres in histories that have any. */
+    private final Optional<Random> drains;
+
+    private final Map<DataCentreId, Long> drainedMillis = new HashMap<>();
     private final boolean tracing;
     private final JobTable table = JobTable.create();
     private final PriorityQueue<Event> events =
@@ -87,10 +96,12 @@
      *
      * @param allKinds whether the history also has scheduled jobs, speculative steps, lasting gangs, lasting tasks that
      *     complete, crashes before an end is reported, and tables restored from a snapshot
+     * @param withDrains whether data centres are drained and undrained
      */
-    ModelFleet(long seed, boolean tracing, boolean allKinds) {
+    ModelFleet(long seed, boolean tracing, boolean allKinds, boolean withDrains) {
         this.random = new Random(seed);
         this.kinds = allKinds ? Optional.of(new Random(~seed)) : Optional.empty();
+        this.drains = withDrains ? Optional.of(new Random(31 * ~seed)) : Optional.empty();
         this.tracing = tracing;
         this.lossShare = random.nextBoolean() ? 0 : 0.2 * random.nextDouble();
         this.delayShare = random.nextBoolean() ? 0 : 0.3 * random.nextDouble();
@@ -113,6 +124,7 @@
             disturb(2000 + random.nextInt(8000));
             settle();
             check();
+            DATA_CENTRES.forEach(this::undrain);
         }
         checkAllRoomIsGivenBack();
     }
@@ -171,6 +183,9 @@
             runUntil(nowMillis + random.nextInt(2 * meanEventMillis));
         }
         disturbed = false;
+        if (drainChance(0.5)) {
+            DATA_CENTRES.forEach(this::undrain);
+        }
     }
 
     private void settle() {
@@ -188,6 +203,9 @@
         if (chance(0.05)) {
             restoreTable();
         }
+        if (drainChance(0.2)) {
+            drainOrUndrainAny();
+        }
         ModelWorker worker = workers.get(random.nextInt(workers.size()));
         switch (random.nextInt(12)) {
             case 0, 1, 2, 3 -> submit();
@@ -201,6 +219,41 @@
         }
     }
 
+    // Data centres
+
+    DataCentreId dataCentre(int worker) {
+        return DATA_CENTRES.get(worker % DATA_CENTRES.size());
+    }
+
+    private boolean drainChance(double share) {
+        return drains.isPresent() && drains.get().nextDouble() < share;
+    }
+
+    private void drainOrUndrainAny() {
+        DataCentreId dataCentre = DATA_CENTRES.get(drains.get().nextInt(DATA_CENTRES.size()));
+        if (table.drainedDataCentres().contains(dataCentre)) {
+            undrain(dataCentre);
+        } else {
+            drain(dataCentre);
+        }
+    }
+
+    private void drain(DataCentreId dataCentre) {
+        trace("drains %s", dataCentre);
+        if (table.apply(++logIndex, new JobCommand.Drain(dataCentre)) == JobOutcome.APPLIED) {
+            drainedMillis.put(dataCentre, nowMillis);
+        }
+    }
+
+    private void undrain(DataCentreId dataCentre) {
+        trace("undrains %s", dataCentre);
+        table.apply(++logIndex, new JobCommand.Undrain(dataCentre));
+    }
+
+    private boolean drained(ModelWorker worker) {
+        return table.drainedDataCentres().contains(worker.dataCentre());
+    }
+
     // Jobs
 
     private void submit() {
@@ -478,6 +531,9 @@
             at(delay, () -> {
                 long index = ++logIndex;
                 boolean current = table.apply(index, command) == JobOutcome.APPLIED;
+                if (disturbed && drainChance(0.05)) {
+                    drainOrUndrainAny();
+                }
                 at(random.nextInt(10), () -> {
                     host.committing = false;
                     if (current) {
@@ -529,6 +585,11 @@
 
     void starting(ModelWorker worker, ModelRun run) {
         TaskKey task = run.key().task();
+        require(
+                !drained(worker) || nowMillis - drainedMillis.get(worker.dataCentre()) <= MAX_ANSWER_AGE_MILLIS,
+                "%s starts on %s in a drained data centre",
+                run.key(),
+                worker.incarnation());
         for (ModelWorker other : workers) {
             for (RunKey live : other.running().keySet()) {
                 require(
@@ -785,6 +846,9 @@
         long free = 0;
         long total = 0;
         for (ModelWorker worker : workers) {
+            if (drained(worker)) {
+                continue;
+            }
             if (worker.up()) {
                 total += ModelWorker.MILLICORES;
                 free += worker.freeMillicores();
@@ -844,7 +908,19 @@
         }
 
         void answer(Host host) {
-            reply.accept(acting(host) ? host.scheduler.answer(receipt) : Optional.empty());
+            Optional<WorkerInstructions> answer = acting(host) ? host.scheduler.answer(receipt) : Optional.empty();
+            answer.ifPresent(this::requireNoStartInADrainedDataCentre);
+            reply.accept(answer);
+        }
+
+        private void requireNoStartInADrainedDataCentre(WorkerInstructions answer) {
+            workers.stream()
+                    .filter(worker -> worker.incarnation().equals(receipt.incarnation()) && drained(worker))
+                    .forEach(worker -> require(
+                            answer.starts().isEmpty(),
+                            "the answer to %s of a drained data centre starts %s",
+                            worker.incarnation(),
+                            answer.starts()));
         }
     }
 }
--- a/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/ModelWorker.java
+++ b/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/ModelWorker.java
@@ -1,5 +1,6 @@
 package dev.waxwinghead.scheduling.job;
 
+import dev.waxwinghead.model.id.DataCentreId;
 import dev.waxwinghead.model.id.ServiceName;
 import dev.waxwinghead.model.resource.Resources;
 import dev.waxwinghead.scheduling.job.WorkerReport.ReportedEnd;
@@ -26,6 +27,7 @@
 
     private final ModelFleet fleet;
     private final String address;
+    private final DataCentreId dataCentre;
     private final double clockRate;
     private final Map<RunKey, ModelRun> running = new LinkedHashMap<>();
     private final List<ModelEnd> ends = new ArrayList<>();
@@ -48,6 +50,7 @@
     ModelWorker(ModelFleet fleet, int number) {
         this.fleet = fleet;
         this.address = "w" + number;
+        this.dataCentre = fleet.dataCentre(number);
         this.clockRate = 1 + 0.02 * fleet.random().nextDouble();
         this.incarnation = JobFixtures.incarnation(address, fleet.nowMillis());
     }
@@ -60,6 +63,10 @@
         return up;
     }
 
+    DataCentreId dataCentre() {
+        return dataCentre;
+    }
+
     boolean leaving() {
         return leaving;
     }
@@ -169,7 +176,9 @@
                 leaving,
                 leaving ? Math.max(0, leavesAtMillis - sentMillis) : 0,
                 rows,
-                ended);
+                ended,
+                Optional.of(dataCentre),
+                0);
         if (unreachable) {
             return;
         }
