--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobCodec.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobCodec.java
@@ -2,6 +2,7 @@
 
 import dev.waxwinghead.daemon.classes.JobClassCodec;
 import dev.waxwinghead.daemon.codec.MessagePackCodec;
+import dev.waxwinghead.model.id.DataCentreId;
 import dev.waxwinghead.model.id.HostId;
 import dev.waxwinghead.model.id.JobId;
 import dev.waxwinghead.model.id.WorkerId;
@@ -17,6 +18,7 @@
 import dev.waxwinghead.scheduling.job.TaskKey;
 import dev.waxwinghead.scheduling.job.WorkerIncarnation;
 import java.io.IOException;
+import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
 import org.msgpack.core.MessageBufferPacker;
@@ -29,6 +31,8 @@
     private static final int CANCEL = 3;
     private static final int ADVANCE = 4;
     private static final int IN_EPOCH = 16;
+    private static final int DRAIN = 5;
+    private static final int UNDRAIN = 6;
     private static final int STARTED = 1;
     private static final int ENDED = 2;
     private static final int FORGOTTEN = 3;
@@ -59,6 +63,20 @@
         return JobOutcome.ofCode(bytes[0]);
     }
 
+    /** Encodes the outcome of a drain or undrain as {@link #pack(JobOutcome)} does, followed by its index. */
+    static byte[] pack(DrainResult result) {
+        return ByteBuffer.allocate(1 + Long.BYTES)
+                .put((byte) result.outcome().code())
+                .putLong(result.index())
+                .array();
+    }
+
+    static DrainResult unpackDrainResult(byte[] bytes) {
+        ByteBuffer buffer = ByteBuffer.wrap(bytes);
+        JobOutcome outcome = JobOutcome.ofCode(buffer.get());
+        return new DrainResult(buffer.getLong(), outcome);
+    }
+
     static void packAccept(MessageBufferPacker packer, JobCommand.Accept accept) throws IOException {
         packSubmission(packer, accept.submission());
         JobClassCodec.packTerms(packer, accept.terms());
@@ -119,6 +137,10 @@
         } else if (command instanceof JobCommand.InEpoch guarded) {
             packer.packInt(IN_EPOCH).packLong(guarded.epoch());
             packCommand(packer, guarded.command());
+        } else if (command instanceof JobCommand.Drain drain) {
+            packer.packInt(DRAIN).packString(drain.dataCentre().value());
+        } else if (command instanceof JobCommand.Undrain undrain) {
+            packer.packInt(UNDRAIN).packString(undrain.dataCentre().value());
         }
     }
 
@@ -130,6 +152,8 @@
             case CANCEL -> new JobCommand.Cancel(JobId.of(unpacker.unpackString()));
             case ADVANCE -> unpackAdvance(unpacker);
             case IN_EPOCH -> new JobCommand.InEpoch(unpacker.unpackLong(), unpackCommand(unpacker));
+            case DRAIN -> new JobCommand.Drain(DataCentreId.of(unpacker.unpackString()));
+            case UNDRAIN -> new JobCommand.Undrain(DataCentreId.of(unpacker.unpackString()));
             default -> throw new IOException("unknown command type " + type);
         };
     }
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobSection.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobSection.java
@@ -3,6 +3,7 @@
 import dev.waxwinghead.daemon.codec.MessagePackCodec;
 import dev.waxwinghead.daemon.state.SectionId;
 import dev.waxwinghead.daemon.state.StateSection;
+import dev.waxwinghead.model.id.DataCentreId;
 import dev.waxwinghead.model.id.JobId;
 import dev.waxwinghead.scheduling.job.JobCommand;
 import dev.waxwinghead.scheduling.job.JobOutcome;
@@ -45,7 +46,8 @@
             outcome = table.apply(index, decoded);
         }
         listener.run();
-        return JobCodec.pack(outcome);
+        boolean drains = decoded instanceof JobCommand.Drain || decoded instanceof JobCommand.Undrain;
+        return drains ? JobCodec.pack(new DrainResult(index, outcome)) : JobCodec.pack(outcome);
     }
 
     @Override
@@ -58,6 +60,8 @@
                 MessagePackCodec.list(packer, suspects(), this::packSuspect);
                 MessagePackCodec.list(packer, runningGangs(), this::packGangAttempt);
                 MessagePackCodec.list(packer, notBegun(), (out, job) -> out.packString(job.value()));
+                MessagePackCodec.list(
+                        packer, table.drainedDataCentres(), (out, dataCentre) -> out.packString(dataCentre.value()));
             });
         }
     }
@@ -81,6 +85,10 @@
                     MessagePackCodec.list(unpacker, in -> JobId.of(in.unpackString()))
                             .forEach(table::restoreNotBegun);
                 }
+                if (unpacker.hasNext()) {
+                    MessagePackCodec.list(unpacker, in -> DataCentreId.of(in.unpackString()))
+                            .forEach(table::restoreDrained);
+                }
                 return epoch;
             });
         }
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TransitionPlanner.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TransitionPlanner.java
@@ -30,15 +30,18 @@
     private static final long MAX_BEGUN_DELAY_NANOS = TimeUnit.SECONDS.toNanos(1);
 
     private final SchedulerState state;
+    private final DrainMoves drainMoves;
     private long begunPlannedNanos;
     private final Map<JobId, Long> endedNanos = new HashMap<>();
     private final Set<JobId> givenUp = new HashSet<>();
 
     TransitionPlanner(SchedulerState state) {
         this.state = state;
+        this.drainMoves = new DrainMoves(state);
     }
 
     void takeOver(long now) {
+        drainMoves.takeOver();
         begunPlannedNanos = now;
         for (JobRecord job : state.table().all()) {
             if (job.state().ended()) {
@@ -97,15 +100,15 @@
 
     /**
      * Ends runs that are to stop and that no answer can start any more: no report ever lists them, so they would keep
-     * their capacity. Limited to tasks that have no further run, which a late listing of the run could overlap.
+     * their capacity. Limited to tasks that have no further run, which a late listing of the run could overlap, and to
+     * starts that a drain has withdrawn for good.
      */
     private void planEndsOfUnstarted(List<JobTransition> plan) {
         for (WorkerEntry entry : state.workers().entries()) {
             for (RunKey run : entry.stopping()) {
                 if (plan.size() < MAX_TRANSITIONS
                         && state.table().isLive(entry.incarnation(), run)
-                        && !state.mayRunAgain(run.task())
-                        && entry.neverStarts(run, state.inherited(run))) {
+                        && neverStarts(entry, run)) {
                     plan.add(new JobTransition.Ended(run, RunEnd.INTERRUPTED, ""));
                     state.events().neverStarted(run, entry.incarnation());
                     state.recordEnd(run);
@@ -115,6 +118,12 @@
         }
     }
 
+    private boolean neverStarts(WorkerEntry entry, RunKey run) {
+        boolean inherited = state.inherited(run);
+        return entry.withdrawalIsFinal(run, inherited)
+                || (!state.mayRunAgain(run.task()) && entry.neverStarts(run, inherited));
+    }
+
     private void recordEnd(WorkerEntry entry, WorkerReport.EndedRun end, long now) {
         state.events().ended(end, entry.incarnation());
         state.recordEnd(end.run());
@@ -237,6 +246,7 @@
         TaskPlacer placer = placer(now, finiteRunsEndedBy(plan));
         StartPlan starts = new StartPlan(state, placer, now);
         List<JobRecord> jobs = JobOrdering.ordered(state.table(), epochMillis);
+        drainMoves.plan(jobs, placer, now);
         jobs.forEach(job -> starts.addReplacements(job, epochMillis));
         for (JobRecord job : jobs) {
             starts.add(job, epochMillis);
@@ -270,7 +280,11 @@
         for (WorkerEntry entry : state.workers().entries()) {
             state.health().review(entry.id(), now);
             if (acceptsTasks(entry, now)) {
-                placer.add(capacityOf(entry, ending, now));
+                if (state.drained(entry)) {
+                    placer.addDrained(entry);
+                } else {
+                    placer.add(capacityOf(entry, ending, now));
+                }
             }
         }
         return placer;
