Examine the workers once per round for tasks of one shape

Each waiting job had all workers of its service examined twice: to rank them and to find its wait reason. What stands against a task on a worker depends on the job only through the worker's health, so it is now kept for a round by the shape of the tasks (need, label, image of best-effort tasks), and determined again only for workers that were assigned a task. A wait reason is determined only if it may be reported. Steps with a limit per worker have their reasons determined as before.

--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/health/WorkerHealth.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/health/WorkerHealth.java
@@ -171,22 +171,32 @@
      * @return false while the worker is quarantined, or has the maximum number of tasks for an unproven worker
      */
     public boolean accepts(WorkerId worker, J job, long now) {
-        WorkerState<J, T> state = workers.get(worker);
-        if (state == null || state.proven) {
+        if (acceptsEveryJob(worker)) {
             return true;
         }
+        WorkerState<J, T> state = workers.get(worker);
         if (state.quarantined) {
             return now - state.quarantinedUntilNanos >= 0 && state.unprovenTasks == 0;
         }
-        if (state.unprovenTasks < MAX_UNPROVEN_TASKS - 1) {
-            return true;
-        }
         boolean otherJob =
                 state.unprovenTasks < MAX_UNPROVEN_TASKS && !state.failedJobs().contains(job);
         boolean trialDue = !state.failures.isEmpty() && now - state.lastFailureNanos >= TRIAL_INTERVAL_NANOS;
         return otherJob || trialDue;
     }
 
+    /**
+     * Returns whether a worker may be assigned a task of any job.
+     *
+     * @param worker the worker
+     * @return false if {@link #accepts} may be false for some job at some time; changes only with a call that records a
+     *     start, an end or a review
+     * @since 0.3
+     */
+    public boolean acceptsEveryJob(WorkerId worker) {
+        WorkerState<J, T> state = workers.get(worker);
+        return state == null || state.proven || (!state.quarantined && state.unprovenTasks < MAX_UNPROVEN_TASKS - 1);
+    }
+
     /**
      * Returns whether {@link #accepts} must be checked before a task is assigned to a worker.
      *
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/RankedWorkers.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/RankedWorkers.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
+import java.util.function.Supplier;
 import java.util.function.ToDoubleFunction;
 
 /**
@@ -22,7 +23,7 @@
     private static final Comparator<Ranked> ORDER =
             Comparator.comparingDouble((Ranked ranked) -> -ranked.score).thenComparingInt(Ranked::position);
 
-    private final List<WorkerCapacity> workers;
+    private final Supplier<List<WorkerCapacity>> workers;
     private final Predicate<WorkerCapacity> eligible;
     private final ToDoubleFunction<WorkerCapacity> score;
     private final Consumer<WorkerCapacity> allocate;
@@ -31,8 +32,17 @@
     private final PriorityQueue<Ranked> ranking = new PriorityQueue<>(ORDER);
     private boolean ranked;
 
+    /**
+     * Returns a ranking.
+     *
+     * @param workers returns the eligible workers, once the first task is placed
+     * @param eligible returns whether a worker is eligible still
+     * @param score returns the score of a worker
+     * @param allocate deducts a task from a worker's capacity
+     * @param release reverses {@code allocate}
+     */
     RankedWorkers(
-            List<WorkerCapacity> workers,
+            Supplier<List<WorkerCapacity>> workers,
             Predicate<WorkerCapacity> eligible,
             ToDoubleFunction<WorkerCapacity> score,
             Consumer<WorkerCapacity> allocate,
@@ -102,7 +112,7 @@
         best.ifPresent(chosen -> {
             allocate.accept(chosen.worker);
             releases.add(() -> release.accept(chosen.worker));
-            ranking.add(new Ranked(chosen.worker, score.applyAsDouble(chosen.worker), chosen.position));
+            ranking.add(new Ranked(chosen.worker, score.applyAsDouble(chosen.worker)));
         });
         return best.map(Ranked::worker);
     }
@@ -112,14 +122,15 @@
             return;
         }
         ranked = true;
-        for (int position = 0; position < workers.size(); position++) {
-            WorkerCapacity worker = workers.get(position);
-            if (eligible.test(worker)) {
-                ranking.add(new Ranked(worker, score.applyAsDouble(worker), position));
-            }
+        for (WorkerCapacity worker : workers.get()) {
+            ranking.add(new Ranked(worker, score.applyAsDouble(worker)));
         }
     }
 
-    /** A worker with its score, and its position among all workers for the case of a tie. */
-    private record Ranked(WorkerCapacity worker, double score, int position) {}
+    /** A worker with its score; in case of a tie, its position among all workers decides. */
+    private record Ranked(WorkerCapacity worker, double score) {
+        int position() {
+            return worker.position();
+        }
+    }
 }
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/StartPlan.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/StartPlan.java
@@ -100,8 +100,12 @@
 
     private void recordWait(
             JobRecord job, int position, StepRecord step, Map<WorkerId, Integer> perWorker, boolean suspect) {
-        WaitReason reason = placer.waitReason(job.terms().service(), job.id(), step.step(), perWorker, suspect);
-        state.waits().waiting(job, position, reason, now);
+        state.waits()
+                .waiting(
+                        job,
+                        position,
+                        () -> placer.waitReason(job.terms().service(), job.id(), step.step(), perWorker, suspect),
+                        now);
     }
 
     private boolean reserveCapacity(JobRecord job, StepRecord step, Map<WorkerId, Integer> perWorker) {
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TaskPlacer.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TaskPlacer.java
@@ -4,13 +4,14 @@
 import dev.waxwinghead.model.id.ServiceName;
 import dev.waxwinghead.model.id.WorkerId;
 import dev.waxwinghead.scheduling.health.WorkerHealth;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Predicate;
 import java.util.function.ToDoubleFunction;
+import java.util.stream.Collectors;
 
 /** Chooses workers for tasks within one scheduling round, and deducts the capacity assigned in the round. */
 final class TaskPlacer {
@@ -36,14 +37,13 @@
     /** The free capacity from which a worker counts as having room, in millicores: a small task. */
     private static final long MIN_ROOM_MILLICORES = 500;
 
-    /** The share of free capacity from which no job may be left without a running task: one half less a margin. */
-    private static final double MOSTLY_FREE_SHARE = 0.45;
+    private static final ServiceWorkers NO_WORKERS = new ServiceWorkers();
 
     private final WorkerHealth<JobId, TaskKey> health;
     private final SlowWorkerDetector slowWorkers;
     private final InterferenceControl interference;
     private final long now;
-    private final Map<ServiceName, List<WorkerCapacity>> candidates = new HashMap<>();
+    private final Map<ServiceName, ServiceWorkers> candidates = new HashMap<>();
 
     TaskPlacer(
             WorkerHealth<JobId, TaskKey> health,
@@ -58,8 +58,12 @@
 
     void add(WorkerCapacity candidate) {
         candidates
-                .computeIfAbsent(candidate.entry().report().service(), service -> new ArrayList<>())
-                .add(candidate);
+                .computeIfAbsent(candidate.entry().report().service(), service -> new ServiceWorkers())
+                .add(candidate, health.acceptsEveryJob(candidate.entry().id()));
+    }
+
+    private ServiceWorkers workers(ServiceName service) {
+        return candidates.getOrDefault(service, NO_WORKERS);
     }
 
     /**
@@ -73,13 +77,26 @@
      */
     RankedWorkers rank(ServiceName service, JobId job, JobStep step, Map<WorkerId, Integer> perWorker) {
         return new RankedWorkers(
-                candidates.getOrDefault(service, List.of()),
+                () -> eligible(service, job, step, perWorker),
                 candidate -> obstacle(candidate, job, step, perWorker).isEmpty(),
                 candidate -> score(candidate, step),
                 candidate -> allocate(candidate, step, perWorker),
                 candidate -> release(candidate, step, perWorker));
     }
 
+    private List<WorkerCapacity> eligible(
+            ServiceName service, JobId job, JobStep step, Map<WorkerId, Integer> perWorker) {
+        List<WorkerCapacity> unobstructed = obstacles(workers(service), step).unobstructed();
+        return unobstructed.stream()
+                .filter(candidate -> meetsConstraints(candidate, job, step, perWorker))
+                .toList();
+    }
+
+    private ShapeObstacles obstacles(ServiceWorkers workers, JobStep step) {
+        return workers.obstacles(
+                TaskShape.of(step), candidate -> obstacle(candidate, step).orElse(null));
+    }
+
     /**
      * Returns why no worker was found for a task.
      *
@@ -88,8 +105,15 @@
      */
     WaitReason waitReason(
             ServiceName service, JobId job, JobStep step, Map<WorkerId, Integer> perWorker, boolean suspect) {
+        ServiceWorkers workers = workers(service);
+        if (step.maxPerWorker() == 0) {
+            Set<WorkerCapacity> refusing = workers.selective().stream()
+                    .filter(candidate -> !health.accepts(candidate.entry().id(), job, now))
+                    .collect(Collectors.toSet());
+            return obstacles(workers, step).closest(refusing, suspect);
+        }
         WaitReason closest = WaitReason.NO_WORKER;
-        for (WorkerCapacity candidate : candidates.getOrDefault(service, List.of())) {
+        for (WorkerCapacity candidate : workers.all()) {
             WaitReason obstacle = obstacle(candidate, job, step, perWorker)
                     .orElse(suspect ? WaitReason.WORKERS_RUN_SUSPECTS : closest);
             closest = obstacle.compareTo(closest) > 0 ? obstacle : closest;
@@ -98,11 +122,11 @@
     }
 
     /** Returns the eligible worker with the highest score, the first in case of a tie. */
-    private Optional<WorkerCapacity> best(
-            ServiceName service, Predicate<WorkerCapacity> eligible, ToDoubleFunction<WorkerCapacity> score) {
+    private static Optional<WorkerCapacity> best(
+            List<WorkerCapacity> workers, Predicate<WorkerCapacity> eligible, ToDoubleFunction<WorkerCapacity> score) {
         WorkerCapacity best = null;
         double bestScore = Double.NEGATIVE_INFINITY;
-        for (WorkerCapacity candidate : candidates.getOrDefault(service, List.of())) {
+        for (WorkerCapacity candidate : workers) {
             if (!eligible.test(candidate)) {
                 continue;
             }
@@ -115,13 +139,15 @@
         return Optional.ofNullable(best);
     }
 
-    private static void allocate(WorkerCapacity candidate, JobStep step, Map<WorkerId, Integer> perWorker) {
+    private void allocate(WorkerCapacity candidate, JobStep step, Map<WorkerId, Integer> perWorker) {
         candidate.allocate(step);
+        workers(candidate.entry().report().service()).changed(candidate);
         perWorker.merge(candidate.entry().id(), 1, Integer::sum);
     }
 
-    private static void release(WorkerCapacity candidate, JobStep step, Map<WorkerId, Integer> perWorker) {
+    private void release(WorkerCapacity candidate, JobStep step, Map<WorkerId, Integer> perWorker) {
         candidate.release(step);
+        workers(candidate.entry().report().service()).changed(candidate);
         perWorker.merge(candidate.entry().id(), -1, Integer::sum);
     }
 
@@ -140,16 +166,19 @@
      */
     Optional<WorkerEntry> placeStarved(
             ServiceName service, JobId job, JobStep step, Map<WorkerId, Integer> perWorker, boolean suspect) {
-        if (!mostlyFree(service)) {
+        ServiceWorkers workers = workers(service);
+        if (!workers.mostlyFree()) {
             return Optional.empty();
         }
+        ToDoubleFunction<WorkerCapacity> headroom =
+                candidate -> interference.headroom(candidate.residents(), step, now);
         Optional<WorkerCapacity> best = best(
-                service,
+                workers.withHeadroom(TaskShape.of(step), headroom),
                 candidate -> candidate.fits(step)
                         && hasUnusedCapacity(candidate, step)
                         && (!suspect || candidate.acceptsSuspectOf(job))
                         && meetsConstraints(candidate, job, step, perWorker),
-                candidate -> interference.headroom(candidate.residents(), step, now));
+                headroom);
         best.ifPresent(candidate -> {
             allocate(candidate, step, perWorker);
             if (suspect) {
@@ -159,16 +188,6 @@
         return best.map(WorkerCapacity::entry);
     }
 
-    private boolean mostlyFree(ServiceName service) {
-        long free = 0;
-        long capacity = 0;
-        for (WorkerCapacity candidate : candidates.getOrDefault(service, List.of())) {
-            free += Math.max(0, candidate.freeMillicores());
-            capacity += candidate.entry().report().capacity().millicores();
-        }
-        return free >= MOSTLY_FREE_SHARE * capacity;
-    }
-
     /**
      * Reserves capacity for a task that has to run again and fits on no worker yet, on the worker with the most free
      * capacity.
@@ -182,7 +201,7 @@
      */
     boolean reserve(ServiceName service, JobId job, JobStep step, Map<WorkerId, Integer> perWorker) {
         Optional<WorkerCapacity> freest = best(
-                service,
+                workers(service).all(),
                 candidate -> candidate.fitsEventually(step) && meetsConstraints(candidate, job, step, perWorker),
                 WorkerCapacity::freeMillicores);
         freest.ifPresent(candidate -> allocate(candidate, step, perWorker));
@@ -197,6 +216,14 @@
         if (!health.accepts(candidate.entry().id(), job, now)) {
             return Optional.of(WaitReason.WORKERS_RESTRICTED);
         }
+        return obstacle(candidate, step);
+    }
+
+    /** Returns the obstacle to tasks of a step whatever the job; depends only on the shape of the tasks. */
+    private Optional<WaitReason> obstacle(WorkerCapacity candidate, JobStep step) {
+        if (!labelled(candidate, step)) {
+            return Optional.of(WaitReason.NO_SUITABLE_WORKER);
+        }
         if (!step.lasting() && !slowWorkers.accepts(candidate.entry().id(), candidate.finiteTasks(), now)) {
             return Optional.of(WaitReason.WORKERS_SLOW);
         }
@@ -216,13 +243,16 @@
     }
 
     private static boolean suits(WorkerCapacity candidate, JobStep step, Map<WorkerId, Integer> perWorker) {
-        boolean labelled = step.requiredLabel().isEmpty()
-                || candidate.entry().report().labels().contains(step.requiredLabel());
-        return labelled
+        return labelled(candidate, step)
                 && (step.maxPerWorker() == 0
                         || perWorker.getOrDefault(candidate.entry().id(), 0) < step.maxPerWorker());
     }
 
+    private static boolean labelled(WorkerCapacity candidate, JobStep step) {
+        return step.requiredLabel().isEmpty()
+                || candidate.entry().report().labels().contains(step.requiredLabel());
+    }
+
     private static boolean hasUnusedCapacity(WorkerCapacity candidate, JobStep step) {
         return candidate.unusedMillicores() >= MIN_UNUSED_SHARE * step.need().millicores();
     }
@@ -247,8 +277,8 @@
 
     /** Records on each worker whether it has room after this round. */
     void recordRoom() {
-        for (List<WorkerCapacity> workers : candidates.values()) {
-            for (WorkerCapacity worker : workers) {
+        for (ServiceWorkers workers : candidates.values()) {
+            for (WorkerCapacity worker : workers.all()) {
                 worker.entry()
                         .hasRoom(worker.freeMillicores() >= MIN_ROOM_MILLICORES
                                 || worker.unusedMillicores() >= MIN_ROOM_MILLICORES);
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/WaitLog.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/WaitLog.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 
 /** Reports for which reason jobs wait, at most once a second for each job and only when the reason has changed. */
 final class WaitLog {
@@ -16,14 +17,27 @@
         this.events = events;
     }
 
-    /** Records that the tasks of a job's step wait. The first record of a wait is not reported, as most are short. */
-    void waiting(JobRecord job, int step, WaitReason reason, long now) {
+    /**
+     * Records that the tasks of a job's step wait. The first record of a wait is not reported, as most are short.
+     *
+     * @param job the job
+     * @param step the step's position
+     * @param reason returns the reason; not called if it would not be reported
+     * @param now the current time, in nanoseconds
+     */
+    void waiting(JobRecord job, int step, Supplier<WaitReason> reason, long now) {
         Entry known = entries.get(job.id());
         if (known == null) {
             entries.put(job.id(), new Entry(null, now));
-        } else if (known.reason != reason && now - known.reportedNanos >= MIN_INTERVAL_NANOS) {
-            entries.put(job.id(), new Entry(reason, now));
-            events.waiting(job, step, reason);
+            return;
+        }
+        if (now - known.reportedNanos < MIN_INTERVAL_NANOS) {
+            return;
+        }
+        WaitReason current = reason.get();
+        if (known.reason != current) {
+            entries.put(job.id(), new Entry(current, now));
+            events.waiting(job, step, current);
         }
     }
 
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/WorkerCapacity.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/WorkerCapacity.java
@@ -24,6 +24,7 @@
     private long finiteMillicores;
     private int servingTasks;
     private int finiteTasks;
+    private int position;
 
     WorkerCapacity(WorkerEntry entry, List<InterferenceControl.ResidentTask> residents) {
         this.entry = entry;
@@ -35,6 +36,15 @@
         this.unusedMillicores = capacity.millicores();
     }
 
+    /** Records the worker's position among the workers of its service in the round. */
+    void position(int index) {
+        position = index;
+    }
+
+    int position() {
+        return position;
+    }
+
     WorkerEntry entry() {
         return entry;
     }
