Keep the capacity of workers between rounds

Each round looked up the job of each run several times to determine the free capacity of the workers. A capacity is now kept until the worker's next report, a change of its runs (JobTable.runChange) or an assignment in a round. It is not kept where it depends on the time or on jobs without a live run on the worker. Steps without live runs are no longer searched for them, and workers without ends or stops are skipped.

--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/JobSubmission.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/JobSubmission.java
@@ -55,10 +55,10 @@
         long longest = 0;
         for (int position = 0; position < ends.length; position++) {
             JobStep step = steps.get(position);
-            long earliestStart = step.after().stream()
-                    .mapToLong(earlier -> ends[earlier])
-                    .max()
-                    .orElse(0);
+            long earliestStart = 0;
+            for (int earlier : step.after()) {
+                earliestStart = Math.max(earliestStart, ends[earlier]);
+            }
             ends[position] = earliestStart + step.estimateMillis();
             longest = Math.max(longest, ends[position]);
         }
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/JobTable.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/JobTable.java
@@ -32,8 +32,12 @@
     private final Set<JobId> active = new LinkedHashSet<>();
     private final Set<JobId> canceledBeforeArrival = new LinkedHashSet<>();
     private final Map<WorkerIncarnation, Set<RunKey>> runs = new HashMap<>();
+    /** The number of the latest change of the runs on each worker with runs; no two changes have the same number. */
+    private final Map<WorkerIncarnation, Long> runChanges = new HashMap<>();
+
     private final Map<JobClassName, Integer> queued = new HashMap<>();
     private long epoch;
+    private long lastRunChange;
 
     private JobTable() {}
 
@@ -144,6 +148,16 @@
         return workerRuns != null && workerRuns.contains(run);
     }
 
+    /**
+     * Returns a number that changes whenever the runs on a worker or the records of their tasks change.
+     *
+     * @param worker the worker's incarnation
+     * @return the number of the latest change, 0 while the worker has no runs
+     */
+    long runChange(WorkerIncarnation worker) {
+        return runChanges.getOrDefault(worker, 0L);
+    }
+
     /**
      * Returns the number of accepted jobs of a class that have not begun and have no start time.
      *
@@ -212,6 +226,7 @@
         }
         step.start(task, attempt, started.worker());
         runs.computeIfAbsent(started.worker(), worker -> new HashSet<>()).add(started.run());
+        recordRunChange(started.worker());
         if (job.state() == JobState.QUEUED) {
             changeState(job, JobState.RUNNING);
         }
@@ -234,6 +249,7 @@
         StepRecord step = job.step(key);
         step.end(task, run.get(), ended.end(), ended.checkpoint(), ended.recency());
         removeRun(run.get().worker(), ended.run());
+        task.liveRuns().forEach(other -> recordRunChange(other.worker()));
         if (ended.end() == RunEnd.COMPLETED && step.step().gang()) {
             completeGang(key, step);
         }
@@ -287,12 +303,18 @@
         Set<RunKey> workerRuns = runs.get(worker);
         if (workerRuns != null) {
             workerRuns.remove(run);
+            recordRunChange(worker);
             if (workerRuns.isEmpty()) {
                 runs.remove(worker);
+                runChanges.remove(worker);
             }
         }
     }
 
+    private void recordRunChange(WorkerIncarnation worker) {
+        runChanges.put(worker, ++lastRunChange);
+    }
+
     private void changeState(JobRecord job, JobState next) {
         countQueued(job, -1);
         job.state(next);
@@ -322,6 +344,7 @@
         active.clear();
         canceledBeforeArrival.clear();
         runs.clear();
+        runChanges.clear();
         queued.clear();
         epoch = 0;
     }
@@ -353,6 +376,7 @@
                 task.liveRuns().add(run);
                 runs.computeIfAbsent(run.worker(), worker -> new HashSet<>())
                         .add(new RunKey(restored.key(), run.attempt()));
+                recordRunChange(run.worker());
             }
         }
         record.occurrences().forEach(steps -> steps.forEach(StepRecord::restore));
@@ -386,7 +410,9 @@
      * @since 0.3
      */
     public void restoreCrashes(TaskKey task, int crashes) {
-        jobs.get(task.job()).task(task).restoreCrashes(crashes);
+        TaskRecord restored = jobs.get(task.job()).task(task);
+        restored.restoreCrashes(crashes);
+        restored.liveRuns().forEach(run -> recordRunChange(run.worker()));
     }
 
     /**
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/RankedWorkers.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/RankedWorkers.java
@@ -88,6 +88,9 @@
 
     private Optional<WorkerCapacity> place(Set<WorkerId> avoid, Predicate<WorkerCapacity> suits) {
         rankAll();
+        if (ranking.isEmpty()) {
+            return Optional.empty();
+        }
         List<Ranked> unsuited = new ArrayList<>();
         List<Ranked> avoided = new ArrayList<>();
         Optional<Ranked> best = Optional.empty();
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/StartPlan.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/StartPlan.java
@@ -181,6 +181,9 @@
 
     private static Map<WorkerId, Integer> perWorker(StepRecord step) {
         Map<WorkerId, Integer> perWorker = new HashMap<>();
+        if (step.liveRuns() == 0) {
+            return perWorker;
+        }
         for (TaskRecord task : step.tasks()) {
             for (TaskRecord.LiveRun run : task.liveRuns()) {
                 perWorker.merge(run.worker().worker(), 1, Integer::sum);
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TransitionPlanner.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TransitionPlanner.java
@@ -21,9 +21,6 @@
     /** Workers whose last report is older get no new tasks; workers report several times a second. */
     private static final long MAX_REPORT_AGE_NANOS = TimeUnit.MILLISECONDS.toNanos(1500);
 
-    /** The gauges of a report cover about this time, so they do not show the effect of newer runs. */
-    private static final long GAUGE_WINDOW_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
-
     /**
      * How long the begin of a job waits for other transitions to be committed with; what callers read may be 2 s old.
      */
@@ -77,6 +74,9 @@
         List<WorkerEntry> entries = new ArrayList<>(state.workers().entries());
         entries.addAll(state.workers().earlierIncarnations());
         for (WorkerEntry entry : entries) {
+            if (entry.ends().isEmpty()) {
+                continue;
+            }
             entry.ends().values().removeIf(end -> !state.table().isLive(entry.incarnation(), end.run()));
             for (WorkerReport.EndedRun end : entry.ends().values()) {
                 if (plan.size() < MAX_TRANSITIONS) {
@@ -101,6 +101,9 @@
      */
     private void planEndsOfUnstarted(List<JobTransition> plan) {
         for (WorkerEntry entry : state.workers().entries()) {
+            if (entry.stopping().isEmpty()) {
+                continue;
+            }
             for (RunKey run : entry.stopping()) {
                 if (plan.size() < MAX_TRANSITIONS
                         && state.table().isLive(entry.incarnation(), run)
@@ -266,10 +269,11 @@
     /** Returns a placer with the capacity of all workers, including that of the runs that are ending. */
     private TaskPlacer placer(long now, Set<RunKey> ending) {
         TaskPlacer placer = new TaskPlacer(state.health(), state.slowWorkers(), state.interference(), now);
+        WorkerCapacities capacities = new WorkerCapacities(state, ending, now);
         for (WorkerEntry entry : state.workers().entries()) {
             state.health().review(entry.id(), now);
             if (acceptsTasks(entry, now)) {
-                placer.add(capacityOf(entry, ending, now));
+                placer.add(capacities.of(entry));
             }
         }
         return placer;
@@ -282,20 +286,6 @@
                 && !entry.silentFor(now, MAX_REPORT_AGE_NANOS);
     }
 
-    private WorkerCapacity capacityOf(WorkerEntry entry, Set<RunKey> ending, long now) {
-        WorkerCapacity capacity = new WorkerCapacity(entry, state.residents(entry));
-        for (RunKey run : state.table().runsOn(entry.incarnation())) {
-            if (!ending.contains(run)) {
-                boolean settled = entry.hasListed(run, now - GAUGE_WINDOW_NANOS);
-                state.step(run.task()).ifPresent(settled ? capacity::allocateSettled : capacity::allocate);
-                if (state.suspect(run.task()) && !entry.hasSurvivedStart(run)) {
-                    capacity.addSuspectOf(run.task().job());
-                }
-            }
-        }
-        return capacity;
-    }
-
     private void planRemovals(List<JobTransition> plan, long now) {
         for (JobRecord job : state.table().all()) {
             if (job.state().ended() && endedNanos.putIfAbsent(job.id(), now) == null) {
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/WorkerCapacity.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/WorkerCapacity.java
@@ -25,6 +25,7 @@
     private int servingTasks;
     private int finiteTasks;
     private int position;
+    private boolean changed;
 
     WorkerCapacity(WorkerEntry entry, List<InterferenceControl.ResidentTask> residents) {
         this.entry = entry;
@@ -77,12 +78,18 @@
 
     /** Deducts a task that is assigned in this round, or that the worker has not listed for long. */
     void allocate(JobStep step) {
+        changed = true;
         allocateSettled(step);
         if (step.bestEffort()) {
             arriving.add(step);
         }
     }
 
+    /** Returns whether {@link #allocate} or {@link #release} was called. */
+    boolean changed() {
+        return changed;
+    }
+
     /** Deducts a task whose effect the worker's gauges show. */
     void allocateSettled(JobStep step) {
         deduct(step, 1);
@@ -90,6 +97,7 @@
 
     /** Gives back what {@link #allocate} deducted for a task that is not started. */
     void release(JobStep step) {
+        changed = true;
         deduct(step, -1);
         if (step.bestEffort()) {
             arriving.remove(step);
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/WorkerEntry.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/WorkerEntry.java
@@ -6,6 +6,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
@@ -34,6 +35,8 @@
     private boolean crashed;
     private boolean awaitsAnswer;
     private boolean hasRoom = true;
+    private WorkerCapacity keptCapacity;
+    private long keptRunChange;
 
     WorkerEntry(WorkerReport report, long now) {
         this.incarnation = report.incarnation();
@@ -60,6 +63,7 @@
     void update(WorkerReport next, long now) {
         report = next;
         reportedNanos = now;
+        keptCapacity = null;
         awaitsAnswer = false;
         Map<RunKey, RunObservation> previous = new HashMap<>(observations);
         observations.clear();
@@ -232,6 +236,25 @@
         return hasRoom;
     }
 
+    /**
+     * Keeps the capacity for the next rounds.
+     *
+     * @param capacity the capacity
+     * @param runChange the number of the latest change of the worker's runs, see {@link JobTable#runChange}
+     */
+    void keepCapacity(WorkerCapacity capacity, long runChange) {
+        keptCapacity = capacity;
+        keptRunChange = runChange;
+    }
+
+    /**
+     * Returns the kept capacity; empty if the worker has reported, its runs have changed, or tasks were assigned to it
+     * in a round since.
+     */
+    Optional<WorkerCapacity> keptCapacity(long runChange) {
+        return Optional.ofNullable(keptCapacity).filter(capacity -> keptRunChange == runChange && !capacity.changed());
+    }
+
     void refused(long untilNanos) {
         refusedUntilNanos = untilNanos;
     }
