--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/WorkerCapacity.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/WorkerCapacity.java
@@ -25,6 +25,8 @@
     private long finiteMillicores;
     private int servingTasks;
     private int finiteTasks;
+    private int position;
+    private boolean changed;
 
     WorkerCapacity(WorkerEntry entry, List<InterferenceControl.ResidentTask> residents) {
         this.entry = entry;
@@ -36,6 +38,15 @@
         this.unusedMillicores = capacity.millicores();
     }
 
+    /** Records the worker's position among the workers of its service in the round. */
+    void position(int index) {
+        position = index;
+    }
+
+    int position() {
+        return position;
+    }
+
     WorkerEntry entry() {
         return entry;
     }
@@ -73,12 +84,18 @@
 
     /** Deducts a task that is assigned in this round, or that the worker has not listed for long. */
     void allocate(JobStep step) {
+        changed = true;
         allocateSettled(step);
         if (step.bestEffort()) {
             arriving.add(step);
         }
     }
 
+    /** Returns whether {@link #allocate} or {@link #release} was called. */
+    boolean changed() {
+        return changed;
+    }
+
     /** Deducts a task whose effect the worker's gauges show. */
     void allocateSettled(JobStep step) {
         deduct(step, 1);
@@ -86,6 +103,7 @@
 
     /** Gives back what {@link #allocate} deducted for a task that is not started. */
     void release(JobStep step) {
+        changed = true;
         deduct(step, -1);
         if (step.bestEffort()) {
             arriving.remove(step);
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/WorkerEntry.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/WorkerEntry.java
@@ -6,6 +6,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
@@ -36,6 +37,8 @@
     private boolean crashed;
     private boolean awaitsAnswer;
     private boolean hasRoom = true;
+    private WorkerCapacity keptCapacity;
+    private long keptRunChange;
 
     WorkerEntry(WorkerReport report, long now) {
         this.incarnation = report.incarnation();
@@ -63,6 +66,7 @@
         report = next;
         reportedNanos = now;
         coldUntilNanos = now + TimeUnit.MILLISECONDS.toNanos(next.coldLeftMillis());
+        keptCapacity = null;
         awaitsAnswer = false;
         Map<RunKey, RunObservation> previous = new HashMap<>(observations);
         observations.clear();
@@ -262,6 +266,25 @@
         return hasRoom;
     }
 
+    /**
+     * Keeps the capacity for the next rounds.
+     *
+     * @param capacity the capacity
+     * @param runChange the number of the latest change of the worker's runs, see {@link JobTable#runChange}
+     */
+    void keepCapacity(WorkerCapacity capacity, long runChange) {
+        keptCapacity = capacity;
+        keptRunChange = runChange;
+    }
+
+    /**
+     * Returns the kept capacity; empty if the worker has reported, its runs have changed, or tasks were assigned to it
+     * in a round since.
+     */
+    Optional<WorkerCapacity> keptCapacity(long runChange) {
+        return Optional.ofNullable(keptCapacity).filter(capacity -> keptRunChange == runChange && !capacity.changed());
+    }
+
     void refused(long untilNanos) {
         refusedUntilNanos = untilNanos;
     }
