Test that no start is accepted or placed in a drained data centre

The earlier test declared its job after the drain, so that the job was never delegated to the data centre.

--- a/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/task/DataCentreDrainTests.java
+++ b/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/task/DataCentreDrainTests.java
@@ -4,6 +4,10 @@
 
 import dev.waxwinghead.model.id.ChangeId;
 import dev.waxwinghead.model.id.DataCentreId;
+import dev.waxwinghead.model.id.TaskId;
+import dev.waxwinghead.model.id.WorkerId;
+import dev.waxwinghead.model.resource.Resources;
+import java.util.List;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -26,12 +30,13 @@
         @Test
         void startsNothingUntilTheDrainIsReverted() {
             SchedulerFixture.FakeWorker worker = fixture.worker("w1", 1_000);
-            fixture.declare(SchedulerFixture.job("before", "team", 1, 500, false));
+            fixture.declare(SchedulerFixture.job("before", "team", 1, 1_000, false));
+            fixture.advance(0.3);
+            fixture.declare(SchedulerFixture.job("after", "team", 1, 1_000, false));
             fixture.advance(0.3);
             assertThat(worker.starts).hasSize(1);
 
             fixture.apply(drain("c1"));
-            fixture.declare(SchedulerFixture.job("after", "team", 1, 500, false));
             fixture.advance(5);
 
             assertThat(worker.starts).hasSize(1);
@@ -39,7 +44,6 @@
             assertThat(fixture.count("after", TaskState.WAITING)).isEqualTo(1);
 
             fixture.apply(undrain("c2"));
-            fixture.declare();
             fixture.advance(3);
 
             assertThat(fixture.count("after", TaskState.COMPLETED)).isEqualTo(1);
@@ -81,6 +85,23 @@
             assertThat(table.tasks().iterator().next().dataCentre()).isNull();
         }
 
+        @Test
+        void ignoresStartsInADrainedDataCentre() {
+            fixture.declare(SchedulerFixture.job("waiting", "team", 1, 500, false));
+            TaskId task = table.tasks().iterator().next().id();
+            TaskCommand start = new TaskCommand.Transitions(
+                    DATA_CENTRE,
+                    fixture.scheduler.term(),
+                    List.of(new Transition.Start(task, 1, WorkerId.of("w1"), 1, Resources.of(500, 1, 0))));
+            apply(drain("c1"));
+            apply(start);
+            assertThat(table.task(task).orElseThrow().state()).isEqualTo(TaskState.WAITING);
+
+            apply(undrain("c2"));
+            apply(start);
+            assertThat(table.task(task).orElseThrow().state()).isEqualTo(TaskState.STARTING);
+        }
+
         @Test
         void givesAResentChangeTheFirstIndexWithoutApplyingItAgain() {
             CommandResult first = apply(drain("c1"));
