Keep the latest unresolved epoch when an earlier proposal fails late

A proposal of an earlier epoch that failed late replaced the epoch in which another outcome is unknown, and a refusal in that epoch would have counted as definite. Also states the order of calls that the refusals rely on.

--- a/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/peer/PeerNetwork.java
+++ b/waxwinghead-coordination/src/main/java/dev/waxwinghead/coordination/peer/PeerNetwork.java
@@ -10,8 +10,8 @@
 /**
  * Exchanges messages and calls with the other entry hosts.
  *
- * <p>Handlers run on threads of the network and must not block. Messages of one peer and channel are handled in the
- * order of arrival.
+ * <p>Handlers run on threads of the network and must not block. Messages and calls of one peer and channel are handled
+ * in the order of arrival, and none of an earlier connection after one of a later connection.
  *
  * @since 0.1
  */
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobService.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobService.java
@@ -24,6 +24,7 @@
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 
@@ -47,7 +48,7 @@
      * The latest epoch in which the outcome of a proposal is not known, 0 if none. The proposal may still be committed
      * in that epoch, so that a refusal in the same epoch rules nothing out.
      */
-    private volatile long unresolvedEpoch;
+    private final AtomicLong unresolvedEpoch = new AtomicLong();
 
     JobService(
             SharedState sharedState,
@@ -112,7 +113,7 @@
 
     private CompletableFuture<JobAnswer> refusal(JobAttempt attempt, long epoch, WaxwingheadException failure) {
         // An entry host of an earlier version sends no epoch and can't read a refusal.
-        if (mayHaveRun(failure) || attempt.epoch().isEmpty() || unresolvedEpoch == epoch) {
+        if (mayHaveRun(failure) || attempt.epoch().isEmpty() || unresolvedEpoch.get() == epoch) {
             return CompletableFuture.failedFuture(failure);
         }
         boolean replaced =
@@ -245,7 +246,8 @@
                 .thenApply(JobCodec::unpackOutcome)
                 .whenComplete((outcome, failure) -> {
                     if (failure != null && mayHaveRun(WaxwingheadException.from(failure))) {
-                        unresolvedEpoch = epoch;
+                        // A proposal of an earlier epoch may fail late.
+                        unresolvedEpoch.accumulateAndGet(epoch, Math::max);
                     }
                 });
     }
--- a/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/jobs/JobGatewayElectionTests.java
+++ b/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/jobs/JobGatewayElectionTests.java
@@ -331,6 +331,26 @@
             assertThat(core.accepted("a1")).isTrue();
         }
 
+        /** Guards against an unknown outcome that is forgotten when a proposal of an earlier epoch fails late. */
+        @Test
+        void ofALeaderWhoseStoreFailedAreNotDefiniteAfterAFailureOfAnEarlierEpoch() {
+            CompletableFuture<byte[]> proposal = new CompletableFuture<>();
+            core.host(FIRST).openProposal = Optional.of(proposal);
+            CompletableFuture<JobAnswer> unused = submit("a0");
+            advance(10);
+            core.elect(SECOND);
+            core.elect(FIRST);
+            advance(1000);
+            core.host(FIRST).storeFails = true;
+            CompletableFuture<JobAnswer> answer = submit("a1");
+            advance(10);
+            proposal.completeExceptionally(WaxwingheadException.of(ErrorKind.UNKNOWN_OUTCOME, "too late", "none"));
+            core.host(FIRST).storeFails = false;
+            core.host(FIRST).refusesProposals = Optional.of(ErrorKind.LIMITED);
+            advance(CALLER_TIME.toMillis());
+            assertFailed(answer, ErrorKind.UNKNOWN_OUTCOME);
+        }
+
         /** Guards against the answer "unknown" after a failure of the store that has passed. */
         @Test
         void areNotNeededOnceTheStoreWorksAgain() {
--- a/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/jobs/MemoryCore.java
+++ b/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/jobs/MemoryCore.java
@@ -162,6 +162,9 @@
         /** Whether the store fails partway: proposals fail with an unknown outcome and may be committed later. */
         boolean storeFails;
 
+        /** The outcome of the next proposal, which the log leaves open. */
+        Optional<CompletableFuture<byte[]>> openProposal = Optional.empty();
+
         /** The number of attempts to have calls about jobs answered, and the number of them under way. */
         int attempts;
 
@@ -258,6 +261,11 @@
 
         @Override
         public CompletableFuture<byte[]> propose(SectionId section, byte[] command, Deadline deadline) {
+            if (openProposal.isPresent()) {
+                CompletableFuture<byte[]> open = openProposal.get();
+                openProposal = Optional.empty();
+                return open;
+            }
             if (storeFails) {
                 uncommitted.add(command);
                 return CompletableFuture.failedFuture(WaxwingheadException.of(
