Move running tasks from drained data centres

Lasting tasks move first, one step at a time within maxUnavailable, then best-effort tasks with checkpoints. A task is stopped only if a worker elsewhere has capacity for its next run, which is kept until the run has ended.

--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/StartPlan.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/StartPlan.java
@@ -175,7 +175,7 @@
         state.events().starting(run, worker.incarnation(), state.table().epoch());
     }
 
-    private static Map<WorkerId, Integer> perWorker(StepRecord step) {
+    static Map<WorkerId, Integer> perWorker(StepRecord step) {
         Map<WorkerId, Integer> perWorker = new HashMap<>();
         for (TaskRecord task : step.tasks()) {
             for (TaskRecord.LiveRun run : task.liveRuns()) {
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TransitionPlanner.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TransitionPlanner.java
@@ -30,15 +30,18 @@
     private static final long MAX_BEGUN_DELAY_NANOS = TimeUnit.SECONDS.toNanos(1);
 
     private final SchedulerState state;
+    private final DrainMoves drainMoves;
     private long begunPlannedNanos;
     private final Map<JobId, Long> endedNanos = new HashMap<>();
     private final Set<JobId> givenUp = new HashSet<>();
 
     TransitionPlanner(SchedulerState state) {
         this.state = state;
+        this.drainMoves = new DrainMoves(state);
     }
 
     void takeOver(long now) {
+        drainMoves.takeOver();
         begunPlannedNanos = now;
         for (JobRecord job : state.table().all()) {
             if (job.state().ended()) {
@@ -243,6 +246,7 @@
         TaskPlacer placer = placer(now, finiteRunsEndedBy(plan));
         StartPlan starts = new StartPlan(state, placer, now);
         List<JobRecord> jobs = JobOrdering.ordered(state.table(), epochMillis);
+        drainMoves.plan(jobs, placer, now);
         jobs.forEach(job -> starts.addReplacements(job, epochMillis));
         for (JobRecord job : jobs) {
             starts.add(job, epochMillis);
--- a/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/DrainTests.java
+++ b/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/DrainTests.java
@@ -6,6 +6,7 @@
 import dev.waxwinghead.model.id.HostId;
 import dev.waxwinghead.model.resource.Resources;
 import dev.waxwinghead.scheduling.job.WorkerReport.EndedRun;
+import dev.waxwinghead.scheduling.job.WorkerReport.ReportedEnd;
 import dev.waxwinghead.scheduling.job.WorkerReport.RunningTask;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -34,6 +35,7 @@
     private final Map<WorkerIncarnation, Long> coldLeftMillis = new HashMap<>();
     private JobScheduler scheduler = newScheduler();
     private long index;
+    private long endNumber;
     private long now = TimeUnit.SECONDS.toNanos(1000);
 
     @BeforeEach
@@ -209,6 +211,212 @@
         }
     }
 
+    /** Guards against services that are lost to a drain, or that lose more tasks at once than their budget allows. */
+    @Nested
+    class LastingTasks {
+        @Test
+        void moveOneByOneWithinTheirBudget() {
+            accept("j1", lasting(3, 1));
+            startOn(A1);
+            drain(A);
+            for (int moved = 1; moved <= 3; moved++) {
+                reportAll();
+                commit();
+                commit();
+                assertThat(events.stops).hasSize(moved);
+                List<RunKey> stopped = report(A1).stops();
+                assertThat(stopped).hasSize(1);
+                stopped.forEach(run -> finish(A1, run));
+                commit();
+                commit();
+                assertThat(events.stops).hasSize(moved);
+                follow(B1);
+                commit();
+                assertThat(events.stops).hasSize(moved);
+                percents.get(B1).replaceAll((run, percent) -> 100);
+            }
+            reportAll();
+            commit();
+            assertThat(table.runsOn(A1)).isEmpty();
+            assertThat(table.runsOn(B1)).hasSize(3);
+            assertThat(events.stops.get(0)).endsWith(" data-centre-drained");
+        }
+
+        @Test
+        void withoutALimitMoveAtOnce() {
+            accept("j1", lasting(3, 0));
+            startOn(A1);
+            drain(A);
+            reportAll();
+            commit();
+            assertThat(events.stops).hasSize(3);
+        }
+
+        /** A task that is unavailable for another reason, here one that is not ready, uses up the budget. */
+        @Test
+        void doNotMoveWhileAnotherTaskOfTheirStepIsUnavailable() {
+            accept("j1", lasting(3, 1));
+            startOn(A1);
+            percents.get(A1).put(JobFixtures.run("j1", 0, 2, 1), 40);
+            drain(A);
+            reportAll();
+            commit();
+            assertThat(events.stops).containsExactly("j1.0.0.2 data-centre-drained");
+        }
+
+        @Test
+        void stayWhileNoWorkerElsewhereHasCapacity() {
+            accept("j1", lasting(2, 0));
+            startOn(A1);
+            drain(A);
+            report(A1);
+            commit();
+            assertThat(events.stops).isEmpty();
+        }
+
+        @Test
+        void moveOnlyAsFarAsTheCapacityElsewhereSuffices() {
+            accept("j1", JobFixtures.step(3, List.of()));
+            startOn(B1);
+            accept("j2", lasting(2, 0));
+            startOn(A1);
+            drain(A);
+            reportAll();
+            commit();
+            assertThat(events.stops).hasSize(1);
+        }
+
+        @Test
+        void ofOneStepMoveBeforeThoseOfTheNext() {
+            accept("j1", lasting(2, 1));
+            accept("j2", lasting(2, 1));
+            startOn(A1);
+            drain(A);
+            reportAll();
+            commit();
+            reportAll();
+            commit();
+            assertThat(events.stops).hasSize(1);
+        }
+
+        /** Guards against a task that has been stopped and whose place another job takes before it starts again. */
+        @Test
+        void keepTheCapacityForTheirNextRunUntilTheyHaveStopped() {
+            accept("j1", lasting(4, 0));
+            startOn(A1);
+            drain(A);
+            reportAll();
+            commit();
+            accept("j2", JobFixtures.step(4, List.of()));
+            reportAll();
+            commit();
+            assertThat(table.runsOn(B1)).isEmpty();
+        }
+
+        /** A new scheduler has no reports, so that all tasks count as unavailable until their workers have reported. */
+        @Test
+        void doNotMoveBeyondTheirBudgetAfterAChangeOfTheScheduler() {
+            accept("j1", lasting(2, 1));
+            startOn(A1);
+            accept("j2", JobFixtures.step(1, List.of()));
+            drain(A);
+            scheduler = newScheduler();
+            scheduler.takeOver(now);
+            report(B1);
+            commit();
+            assertThat(events.stops).isEmpty();
+            reportAll();
+            commit();
+            commit();
+            assertThat(events.stops).hasSize(1);
+        }
+
+        @Test
+        void ofAGangStayIfItsMembersExceedTheBudget() {
+            JobStep gang = JobFixtures.lastingGang(2, 1000);
+            accept("j1", withMaxUnavailable(gang, 1));
+            startOn(A1);
+            drain(A);
+            reportAll();
+            commit();
+            assertThat(events.stops).isEmpty();
+        }
+
+        @Test
+        void ofAGangMoveTogether() {
+            accept("j1", JobFixtures.lastingGang(2, 1000));
+            startOn(A1);
+            drain(A);
+            reportAll();
+            commit();
+            assertThat(events.stops).hasSize(2);
+        }
+
+        private JobStep lasting(int count, int maxUnavailable) {
+            return withMaxUnavailable(JobFixtures.step(count, List.of(), true, false, 0), maxUnavailable);
+        }
+
+        private JobStep withMaxUnavailable(JobStep step, int maxUnavailable) {
+            return new JobStep(
+                    step.count(),
+                    step.need(),
+                    step.estimateMillis(),
+                    step.after(),
+                    step.checkpoints(),
+                    step.gang(),
+                    step.sameRack(),
+                    step.requiredLabel(),
+                    step.dataRack(),
+                    step.maxPerWorker(),
+                    step.speculative(),
+                    step.lasting(),
+                    step.image(),
+                    step.targetMillis(),
+                    step.bestEffort(),
+                    maxUnavailable);
+        }
+    }
+
+    /** Guards against work that a drain discards although its data centre still runs. */
+    @Nested
+    class FiniteTasks {
+        @Test
+        void runToCompletion() {
+            accept("j1", JobFixtures.step(2, List.of()));
+            startOn(A1);
+            percents.get(A1).replaceAll((run, percent) -> 10);
+            drain(A);
+            assertThat(report(A1).stops()).isEmpty();
+            reportAll();
+            commit();
+            assertThat(events.stops).isEmpty();
+            assertThat(table.runsOn(A1)).hasSize(2);
+        }
+
+        @Test
+        void ofBestEffortMoveIfTheyWouldRunForLongerThanAMoveTakes() {
+            accept("j1", JobFixtures.step(2, List.of(), false, true, 0));
+            startOn(A1);
+            percents.get(A1).put(JobFixtures.run("j1", 0, 0, 1), 20);
+            percents.get(A1).put(JobFixtures.run("j1", 0, 1, 1), 40);
+            drain(A);
+            reportAll();
+            commit();
+            assertThat(events.stops).containsExactly("j1.0.0.0 data-centre-drained");
+        }
+
+        @Test
+        void ofBestEffortStayWhileNoWorkerElsewhereHasCapacity() {
+            accept("j1", JobFixtures.step(2, List.of(), false, true, 0));
+            startOn(A1);
+            percents.get(A1).replaceAll((run, percent) -> 10);
+            drain(A);
+            report(A1);
+            commit();
+            assertThat(events.stops).isEmpty();
+        }
+    }
+
     /** Guards against tasks that are slowed down by a worker that has just started although another is warm. */
     @Nested
     class ColdWorkers {
@@ -235,6 +443,33 @@
         }
     }
 
+    /** Starts all tasks on one worker, which lists them as ready. */
+    private void startOn(WorkerIncarnation worker) {
+        report(worker);
+        commit();
+        commit();
+        follow(worker);
+        percents.get(worker).replaceAll((run, percent) -> 100);
+        report(worker);
+    }
+
+    /** Lets a worker start what the answer to its report says; the new runs are not ready yet. */
+    private void follow(WorkerIncarnation worker) {
+        Map<RunKey, Integer> running = percents.computeIfAbsent(worker, key -> new HashMap<>());
+        report(worker).starts().forEach(start -> running.put(start.run(), 0));
+    }
+
+    /** Lets a worker report that it has stopped a run. */
+    private void finish(WorkerIncarnation worker, RunKey run) {
+        percents.get(worker).remove(run);
+        report(worker, new EndedRun(++endNumber, run, ReportedEnd.STOPPED, "saved"));
+    }
+
+    private void reportAll() {
+        report(A1);
+        report(B1);
+    }
+
     private JobScheduler newScheduler() {
         return JobScheduler.of(table, TIMES, service -> true, events);
     }
@@ -313,7 +548,7 @@
 
         @Override
         public void stopping(RunKey run, WorkerIncarnation worker, String reason) {
-            stops.add(run + " " + reason);
+            stops.add(run.task() + " " + reason);
         }
     }
 }
--- a/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/ModelFleet.java
+++ b/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/ModelFleet.java
@@ -717,6 +717,7 @@
             findRoomWithoutRuns(found);
             findRunsWithoutRoom(found);
             findWaitingTasks(found);
+            findTasksToMove(found);
             requireLastingJobsGoOn();
             differences.keySet().retainAll(found.keySet());
             found.forEach((difference, boundMillis) -> {
@@ -799,6 +800,18 @@
         }
     }
 
+    /** Finds lasting tasks in a drained data centre for which there is capacity twice over elsewhere. */
+    private void findTasksToMove(Map<String, Long> found) {
+        for (ModelWorker worker : workers) {
+            for (ModelRun run : worker.running().values()) {
+                JobStep step = run.step();
+                if (drained(worker) && step.lasting() && !step.gang() && !step.bestEffort() && hasCapacityFor(step)) {
+                    found.put(run.key() + " stays in a drained data centre", MAX_LASTING_WAIT_MILLIS);
+                }
+            }
+        }
+    }
+
     private void requireLastingJobsGoOn() {
         for (JobRecord job : table.all()) {
             boolean lasts = job.submission().steps().stream().anyMatch(JobStep::lasting);
