--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/JobCommand.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/JobCommand.java
@@ -39,7 +39,7 @@
      * centre is drained.
      *
      * @param dataCentre the data centre
-     * @since 0.4
+     * @since 0.3
      */
     record Drain(DataCentreId dataCentre) implements JobCommand {}
 
@@ -47,7 +47,7 @@
      * Reverts the drain of a data centre. The command has no effect if the data centre is not drained.
      *
      * @param dataCentre the data centre
-     * @since 0.4
+     * @since 0.3
      */
     record Undrain(DataCentreId dataCentre) implements JobCommand {}
 
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/JobTable.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/JobTable.java
@@ -128,7 +128,7 @@
      * Returns the drained data centres, on whose workers no task may start.
      *
      * @return the data centres in the order of their ids; a live view
-     * @since 0.4
+     * @since 0.3
      */
     public Set<DataCentreId> drainedDataCentres() {
         return Collections.unmodifiableSet(drainedDataCentres);
@@ -427,7 +427,7 @@
      * Restores that a data centre is drained.
      *
      * @param dataCentre the data centre
-     * @since 0.4
+     * @since 0.3
      */
     public void restoreDrained(DataCentreId dataCentre) {
         drainedDataCentres.add(dataCentre);
