--- a/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/jobs/JobHostTests.java
+++ b/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/jobs/JobHostTests.java
@@ -8,6 +8,7 @@
 import dev.waxwinghead.model.lifecycle.Closer;
 import dev.waxwinghead.model.time.Deadline;
 import dev.waxwinghead.model.time.Ticker;
+import dev.waxwinghead.scheduling.job.JobOutcome;
 import dev.waxwinghead.scheduling.job.SchedulerTimes;
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import java.io.IOException;
@@ -17,6 +18,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -151,6 +153,66 @@
         }
     }
 
+    /** Guards against a drain that only the host knows that answered it. */
+    @Nested
+    class DrainedDataCentre {
+        private static final DataCentreId DRAINED = DataCentreId.of("dc-0");
+
+        @Test
+        void isKnownToTheNextLeaderAfterADrainThroughAFollower() throws Exception {
+            List<JobHost> hosts = new ArrayList<>();
+            List<SimpleMeterRegistry> meters = new ArrayList<>();
+            for (int number = 0; number < SEEDS.size(); number++) {
+                meters.add(new SimpleMeterRegistry());
+                hosts.add(closer.register(JobHost.start(settings(number, true), Ticker.system(), meters.get(number))));
+            }
+            for (JobHost host : hosts) {
+                assertThat(findsLeader(host)).isTrue();
+            }
+            int leader = SEEDS.indexOf(hosts.get(0).leader().orElseThrow());
+            int follower = (leader + 1) % SEEDS.size();
+            DrainResult drained =
+                    hosts.get(follower).drains().drain(DRAINED, deadline()).get();
+            assertThat(drained.outcome()).isEqualTo(JobOutcome.APPLIED);
+            hosts.get(leader).close();
+
+            DrainResult repeated = repeat(hosts.get(follower));
+            assertThat(repeated.outcome()).isEqualTo(JobOutcome.REPEATED);
+            assertThat(repeated.index()).isGreaterThan(drained.index());
+            assertThat(drainedDataCentres(meters.get(follower))).isEqualTo(1);
+            assertThat(hosts.get(follower)
+                            .drains()
+                            .undrain(DRAINED, deadline())
+                            .get()
+                            .outcome())
+                    .isEqualTo(JobOutcome.APPLIED);
+        }
+
+        /** Repeats the drain until the remaining hosts have elected a leader. */
+        private DrainResult repeat(JobHost host) throws Exception {
+            long endNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(15);
+            while (System.nanoTime() - endNanos < 0) {
+                Optional<DrainResult> result = host.drains()
+                        .drain(DRAINED, deadline())
+                        .handle((committed, failure) -> Optional.ofNullable(committed))
+                        .get();
+                if (result.isPresent()) {
+                    return result.get();
+                }
+                TimeUnit.MILLISECONDS.sleep(50);
+            }
+            throw new AssertionError("no leader was elected");
+        }
+
+        private static Deadline deadline() {
+            return Deadline.after(Duration.ofSeconds(3), Ticker.system());
+        }
+
+        private static double drainedDataCentres(SimpleMeterRegistry registry) {
+            return registry.get("waxwinghead.job.data.centres.drained").gauge().value();
+        }
+    }
+
     @Nested
     class LeaderThatIsNoSeed {
         /** The shortest time in which the users expect a host to be back. */
