Select the jobs that can end in time while their work exceeds the capacity

With too little capacity, earliest due time first makes all jobs late. The scheduler now forecasts the capacity for best-effort and other finite jobs separately, and selects as many jobs as can end in time. Jobs that have begun are finished, sizes are treated alike, and jobs that have waited for half of their useful time get a bounded share. With sufficient capacity the order is unchanged.

--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/JobScheduler.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/JobScheduler.java
@@ -3,6 +3,8 @@
 import dev.waxwinghead.model.id.ServiceName;
 import dev.waxwinghead.model.id.WorkerId;
 import dev.waxwinghead.scheduling.interference.PairEstimate;
+import dev.waxwinghead.scheduling.overload.CapacityOrder;
+import dev.waxwinghead.scheduling.overload.OverloadControl;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -26,10 +28,10 @@
     private final UnlistedRoom unlistedRoom;
     private long describedNanos;
 
-    private JobScheduler(SchedulerState state) {
+    private JobScheduler(SchedulerState state, CapacityOrder order) {
         this.state = state;
         this.reportHandler = new ReportHandler(state);
-        this.planner = new TransitionPlanner(state);
+        this.planner = new TransitionPlanner(state, order);
         this.unlistedRoom = new UnlistedRoom(state);
     }
 
@@ -45,7 +47,17 @@
      */
     public static JobScheduler of(
             JobTable table, SchedulerTimes times, Predicate<ServiceName> declared, SchedulerListener events) {
-        return new JobScheduler(new SchedulerState(table, times, declared, events));
+        return of(table, times, declared, events, OverloadControl::decide);
+    }
+
+    /** Returns a scheduler that assigns capacity to the finite jobs that share it in a given order. */
+    static JobScheduler of(
+            JobTable table,
+            SchedulerTimes times,
+            Predicate<ServiceName> declared,
+            SchedulerListener events,
+            CapacityOrder order) {
+        return new JobScheduler(new SchedulerState(table, times, declared, events), order);
     }
 
     /**
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/SchedulerState.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/SchedulerState.java
@@ -34,6 +34,7 @@
     private final WaitLog waits;
     private final SlowWorkerDetector slowWorkers;
     private final RestartPauses restartPauses;
+    private final LoadTracker load = new LoadTracker();
     private final Set<RunKey> inheritedRuns = new HashSet<>();
     /** The jobs that have begun by the reports, and may not have for the table. */
     private final Set<JobId> begunJobs = new LinkedHashSet<>();
@@ -76,6 +77,10 @@
         return restartPauses;
     }
 
+    LoadTracker load() {
+        return load;
+    }
+
     WaitLog waits() {
         return waits;
     }
@@ -101,6 +106,7 @@
         inheritedRuns.clear();
         begunJobs.clear();
         startsWithoutEnd.clear();
+        load.reset();
         for (WorkerIncarnation worker : table.busyWorkers()) {
             inheritedRuns.addAll(table.runsOn(worker));
         }
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/StartPlan.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/StartPlan.java
@@ -102,6 +102,7 @@
             JobRecord job, int position, StepRecord step, Map<WorkerId, Integer> perWorker, boolean suspect) {
         WaitReason reason = placer.waitReason(job.terms().service(), job.id(), step.step(), perWorker, suspect);
         state.waits().waiting(job, position, reason, now);
+        state.load().waiting(job, step.step(), reason);
     }
 
     private boolean reserveCapacity(JobRecord job, StepRecord step, Map<WorkerId, Integer> perWorker) {
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/StepRecord.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/StepRecord.java
@@ -77,6 +77,16 @@
         return liveRuns;
     }
 
+    /**
+     * Returns the estimated work that is left; live runs count as half done.
+     *
+     * @param taskCoreMillis the estimated work of a task, in core-milliseconds
+     * @return the work in core-milliseconds
+     */
+    long remainingCoreMillis(long taskCoreMillis) {
+        return Math.max(0, (2L * (tasks.size() - completed) - liveRuns) * taskCoreMillis / 2);
+    }
+
     /**
      * Returns the latest checkpoint of a task; the members of a gang share one.
      *
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TaskPlacer.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TaskPlacer.java
@@ -245,6 +245,13 @@
         return locality + promptness + candidate.freeMillicores() / capacity;
     }
 
+    /** Returns the processor time that the workers of a service have for finite tasks, in millicores. */
+    long finiteRoomMillicores(LoadTracker.Pool pool) {
+        return candidates.getOrDefault(pool.service(), List.of()).stream()
+                .mapToLong(candidate -> candidate.finiteRoomMillicores(pool.bestEffort()))
+                .sum();
+    }
+
     /** Records on each worker whether it has room after this round. */
     void recordRoom() {
         for (List<WorkerCapacity> workers : candidates.values()) {
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TransitionPlanner.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TransitionPlanner.java
@@ -1,6 +1,7 @@
 package dev.waxwinghead.scheduling.job;
 
 import dev.waxwinghead.model.id.JobId;
+import dev.waxwinghead.scheduling.overload.CapacityOrder;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -30,12 +31,14 @@
     private static final long MAX_BEGUN_DELAY_NANOS = TimeUnit.SECONDS.toNanos(1);
 
     private final SchedulerState state;
+    private final CapacityOrder order;
     private long begunPlannedNanos;
     private final Map<JobId, Long> endedNanos = new HashMap<>();
     private final Set<JobId> givenUp = new HashSet<>();
 
-    TransitionPlanner(SchedulerState state) {
+    TransitionPlanner(SchedulerState state, CapacityOrder order) {
         this.state = state;
+        this.order = order;
     }
 
     void takeOver(long now) {
@@ -121,7 +124,13 @@
         TaskKey task = end.run().task();
         recordRestart(end, now);
         switch (end.end()) {
-            case COMPLETED -> state.health().succeeded(entry.id(), task.job(), task);
+            case COMPLETED -> {
+                state.health().succeeded(entry.id(), task.job(), task);
+                state.table()
+                        .find(task.job())
+                        .ifPresent(job -> state.load()
+                                .completed(job.terms().service(), job.step(task).step(), now));
+            }
             case FAILED -> {
                 state.health().failed(entry.id(), task.job(), task, now);
                 state.avoid(task, entry.id());
@@ -236,7 +245,11 @@
         }
         TaskPlacer placer = placer(now, finiteRunsEndedBy(plan));
         StartPlan starts = new StartPlan(state, placer, now);
-        List<JobRecord> jobs = JobOrdering.ordered(state.table(), epochMillis);
+        List<JobRecord> jobs = JobOrdering.ordered(
+                state.table(),
+                pool -> state.load().forecast(pool, placer.finiteRoomMillicores(pool), now),
+                order,
+                epochMillis);
         jobs.forEach(job -> starts.addReplacements(job, epochMillis));
         for (JobRecord job : jobs) {
             starts.add(job, epochMillis);
@@ -246,6 +259,7 @@
         }
         plan.addAll(starts.transitions());
         placer.recordRoom();
+        state.load().endRound(now);
     }
 
     /**
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/WorkerCapacity.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/WorkerCapacity.java
@@ -22,6 +22,7 @@
     private long freeAccelerators;
     private double unusedMillicores;
     private long finiteMillicores;
+    private long finiteBestEffortMillicores;
     private int servingTasks;
     private int finiteTasks;
 
@@ -94,6 +95,7 @@
         long millicores = tasks * need.millicores();
         if (step.bestEffort()) {
             unusedMillicores -= millicores;
+            finiteBestEffortMillicores += step.lasting() ? 0 : millicores;
             return;
         }
         freeMillicores -= millicores;
@@ -125,6 +127,13 @@
         return step.need().millicores() <= freeMillicores + finiteMillicores;
     }
 
+    /** Returns the processor time for finite tasks, including that of those on the worker, in millicores. */
+    long finiteRoomMillicores(boolean bestEffort) {
+        return bestEffort
+                ? Math.max(0, Math.round(unusedMillicores) + finiteBestEffortMillicores)
+                : Math.max(0, freeMillicores + finiteMillicores);
+    }
+
     boolean fits(JobStep step) {
         Resources need = step.need();
         boolean memory = need.memoryBytes() <= freeMemoryBytes && need.accelerators() <= freeAccelerators;
