--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/overload/Selection.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/overload/Selection.java
@@ -1,5 +1,6 @@
 package dev.waxwinghead.scheduling.overload;
 
+import dev.waxwinghead.model.id.JobId;
 import dev.waxwinghead.scheduling.overload.JobDemand.Lateness;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -19,17 +20,18 @@
     /** The error of callers' estimates, as a share of the estimate, that a job which begins now is to withstand. */
     private static final double ESTIMATE_ERROR = 0.5;
 
+    /** The job to remove first: the least expected value per work, the shortest wait in case of a tie. */
+    private static final Comparator<Candidate> LEAST_LOSS = Comparator.comparingDouble(Candidate::density)
+            .thenComparing(
+                    Candidate::job,
+                    Comparator.comparingLong(JobDemand::acceptedEpochMillis).reversed());
+
     private static final Comparator<JobDemand> DUE_TIME = Comparator.comparingLong(JobDemand::dueEpochMillis);
 
     private final RoomForecast room;
     private final double aheadCoreMillis;
     private final long epochMillis;
 
-    /** The job to remove first: the least expected value per work, the shortest wait in case of a tie. */
-    private final Comparator<JobDemand> leastLoss = Comparator.comparingDouble(this::expectedDensity)
-            .thenComparing(
-                    Comparator.comparingLong(JobDemand::acceptedEpochMillis).reversed());
-
     /**
      * Creates a selection.
      *
@@ -65,65 +67,72 @@
      */
     List<JobDemand> order(List<JobDemand> level, List<JobDemand> expired) {
         List<JobDemand> order = longWaits(level);
-        Set<JobDemand> chosen = new HashSet<>(order);
+        Set<JobId> chosen = new HashSet<>();
         double work = aheadCoreMillis;
         for (JobDemand job : order) {
+            chosen.add(job.id());
             work += job.remainingCoreMillis();
         }
-        List<JobDemand> onTime = new ArrayList<>();
-        List<JobDemand> rest = new ArrayList<>();
+        List<Candidate> onTime = new ArrayList<>(level.size());
+        List<Candidate> late = new ArrayList<>();
         for (JobDemand job : level) {
             Lateness lateness = job.lateness(epochMillis);
             if (lateness == Lateness.EXPIRED) {
                 expired.add(job);
-            } else if (!chosen.contains(job)) {
-                (lateness == Lateness.ON_TIME ? onTime : rest).add(job);
+            } else if (chosen.isEmpty() || !chosen.contains(job.id())) {
+                (lateness == Lateness.ON_TIME ? onTime : late).add(candidate(job));
             }
         }
-        select(onTime, work, rest).stream().sorted(DUE_TIME).forEach(order::add);
-        rest.sort(Comparator.comparing((JobDemand job) -> job.lateness(epochMillis))
-                .thenComparing(leastLoss.reversed()));
-        order.addAll(rest);
+        List<Candidate> removed = new ArrayList<>();
+        select(onTime, work, removed).stream()
+                .map(Candidate::job)
+                .sorted(DUE_TIME)
+                .forEach(order::add);
+        for (List<Candidate> rest : List.of(removed, late)) {
+            rest.sort(LEAST_LOSS.reversed());
+            rest.forEach(each -> order.add(each.job()));
+        }
         return order;
     }
 
-    /** Returns those of the jobs, sorted by due time, that can end in time. Adds the others to the rest. */
-    private PriorityQueue<JobDemand> select(List<JobDemand> onTime, double aheadOfAll, List<JobDemand> rest) {
-        PriorityQueue<JobDemand> selected = new PriorityQueue<>(leastLoss);
+    /** Returns those of the jobs, sorted by due time, that can end in time. Adds the others to a list. */
+    private PriorityQueue<Candidate> select(List<Candidate> onTime, double aheadOfAll, List<Candidate> removed) {
+        PriorityQueue<Candidate> selected = new PriorityQueue<>(LEAST_LOSS);
         double work = aheadOfAll;
-        for (JobDemand job : onTime) {
+        for (Candidate candidate : onTime) {
+            JobDemand job = candidate.job();
             long latestStart = latestStartEpochMillis(job);
             if (latestStart < epochMillis) {
-                rest.add(job);
+                removed.add(candidate);
                 continue;
             }
-            selected.add(job);
+            selected.add(candidate);
+            double ahead = work;
             work += job.remainingCoreMillis();
-            double ahead = work - job.remainingCoreMillis();
             while (!selected.isEmpty() && (work > roomUntil(job.dueEpochMillis()) || ahead > roomUntil(latestStart))) {
-                JobDemand removed = selected.remove();
-                work -= removed.remainingCoreMillis();
-                rest.add(removed);
-                if (removed.equals(job)) {
+                Candidate least = selected.remove();
+                work -= least.job().remainingCoreMillis();
+                removed.add(least);
+                if (least.equals(candidate)) {
                     break;
                 }
-                ahead -= removed.remainingCoreMillis();
+                ahead -= least.job().remainingCoreMillis();
             }
         }
         return selected;
     }
 
     /**
-     * Returns the value per core-millisecond times the chance that the job ends in time. For a job that has not begun,
-     * this is the share of its slack that is left: a job that begins on its last slack ends late whenever its estimate
-     * is too low. Without the chance, 0.39 in place of 0.56 of the jobs ended in time at twice the capacity, see
-     * docs/design/overload.md.
+     * Returns a job with its value per core-millisecond times the chance that the job ends in time. For a job that has
+     * not begun, this is the share of its slack that is left: a job that begins on its last slack ends late whenever
+     * its estimate is too low. Without the chance, 0.39 in place of 0.56 of the jobs ended in time at twice the
+     * capacity, see docs/design/overload.md.
      */
-    private double expectedDensity(JobDemand job) {
+    private Candidate candidate(JobDemand job) {
         double slack = job.dueEpochMillis() - job.criticalPathMillis() - (double) epochMillis;
         double initialSlack = job.dueEpochMillis() - job.criticalPathMillis() - (double) job.acceptedEpochMillis();
         double chance = job.begun() ? 1 : Math.max(0, Math.min(1, slack / Math.max(1, initialSlack)));
-        return job.valueDensity() * chance;
+        return new Candidate(job, job.valueDensity() * chance);
     }
 
     /** Returns the latest time at which a job may start, which for a job not begun withstands a wrong estimate. */
@@ -165,4 +174,12 @@
     private double roomUntil(long untilEpochMillis) {
         return room.coreMillis(untilEpochMillis - epochMillis);
     }
+
+    /**
+     * A job that may be selected.
+     *
+     * @param job the job
+     * @param density the expected value that is lost per core-millisecond if the job is not selected
+     */
+    private record Candidate(JobDemand job, double density) {}
 }
