Choose the ports of JobHostTests below the ephemeral range

isFoundByAHostThatLostItsDisk failed once beside other builds with 'Address already in use' for 127.0.0.11:43147. The port came from the range from which the system serves other sockets, so another process could take it between the probe and the start or while a host was stopped. The checks are unchanged.

--- a/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/jobs/JobHostTests.java
+++ b/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/jobs/JobHostTests.java
@@ -24,6 +24,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
@@ -47,17 +48,21 @@
 
     private int peerPort;
 
+    /**
+     * Chooses a port below the range from which the system takes ports for other sockets. A port of that range may be
+     * taken by another process while a host is stopped.
+     */
     @BeforeEach
     void choosePort() throws IOException {
         do {
-            peerPort = bind(SEEDS.get(0), 0);
+            peerPort = ThreadLocalRandom.current().nextInt(10_000, 30_000);
         } while (!isFreeOnAllHosts());
     }
 
     private boolean isFreeOnAllHosts() throws IOException {
         for (HostId host : HOSTS) {
             try {
-                bind(host, peerPort);
+                bind(host);
             } catch (BindException e) {
                 return false;
             }
@@ -65,11 +70,9 @@
         return true;
     }
 
-    /** Binds a port for a moment, any free one for 0, and returns it. */
-    private static int bind(HostId host, int port) throws IOException {
-        try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName(host.value()))) {
-            return socket.getLocalPort();
-        }
+    /** Binds the port of a host for a moment. */
+    private void bind(HostId host) throws IOException {
+        new ServerSocket(peerPort, 1, InetAddress.getByName(host.value())).close();
     }
 
     @AfterEach
