Name the moves of a data centre's drain after the drain

The class and a constant carried the platform's word for it. A comment of JobGateway stated the memory of a call as if it was measured; it is an estimate. DataCentreDrain*Tests, JobGateway*Tests and TasksPartTests pass.

--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobGateway.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobGateway.java
@@ -34,7 +34,7 @@
  * one. The refusal of a later scheduler therefore holds for all attempts before.
  */
 public final class JobGateway implements AutoCloseable {
-    /** The maximum number of calls without an answer; each takes up to 30 KB of the heap of 96 MB. */
+    /** The maximum number of calls without an answer; a call may take some 30 KB (an estimate, not measured). */
     static final int MAX_OPEN_CALLS = 1000;
 
     /** The maximum size of all requests without an answer, in bytes; each is held encoded and decoded. */
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/tasks/DataCentreEvacuation.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/tasks/DataCentreDrainMoves.java
@@ -17,8 +17,8 @@
  * Decides which service tasks leave drained data centres. A task is stopped only if a worker elsewhere has room for it
  * and the service keeps as many running tasks as during a rolling restart. Tasks of jobs run to completion.
  */
-final class DataCentreEvacuation {
-    private DataCentreEvacuation() {}
+final class DataCentreDrainMoves {
+    private DataCentreDrainMoves() {}
 
     /**
      * Returns the tasks to stop now.
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/tasks/DataCentreDrainService.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/tasks/DataCentreDrainService.java
@@ -43,7 +43,7 @@
     @Override
     public CompletableFuture<DrainForecast> forecastDrain(DataCentreId dataCentre) {
         requireKnown(dataCentre);
-        return exchange.workers().thenApply(workers -> DataCentreEvacuation.forecast(table, dataCentre, workers));
+        return exchange.workers().thenApply(workers -> DataCentreDrainMoves.forecast(table, dataCentre, workers));
     }
 
     /**
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/tasks/DataCentreRow.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/tasks/DataCentreRow.java
@@ -29,7 +29,7 @@
                 index != null,
                 index,
                 table.scheduler(dataCentre).map(SchedulerTerm::host).orElse(null),
-                DataCentreEvacuation.countServiceTasks(table, dataCentre),
-                DataCentreEvacuation.countJobTasks(table, dataCentre));
+                DataCentreDrainMoves.countServiceTasks(table, dataCentre),
+                DataCentreDrainMoves.countJobTasks(table, dataCentre));
     }
 }
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/tasks/Planner.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/tasks/Planner.java
@@ -39,7 +39,7 @@
     private static final int MAX_DELEGATIONS_PER_ROUND = 2_000;
     private static final long REDELEGATION_DELAY_NANOS = TimeUnit.SECONDS.toNanos(2);
 
-    private static final long EVACUATION_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(1);
+    private static final long DRAIN_MOVE_INTERVAL_NANOS = TimeUnit.SECONDS.toNanos(1);
     private static final long MAX_WORKER_LIST_AGE_NANOS = TimeUnit.SECONDS.toNanos(4);
 
     private final DaemonContext context;
@@ -67,7 +67,7 @@
         this.waiting = waiting;
         this.failureDetector = new DataCentreFailureDetector(table);
         this.restart = new RollingRestart(table);
-        this.workersRequestedNanos = context.ticker().nanos() - EVACUATION_INTERVAL_NANOS;
+        this.workersRequestedNanos = context.ticker().nanos() - DRAIN_MOVE_INTERVAL_NANOS;
     }
 
     /** Plans once, unless commands of the previous round are still pending. */
@@ -84,7 +84,7 @@
             commands.addAll(delegations(now));
             Optional<TaskCommand> outdated = restart.next();
             // Both rely on the number of missing tasks in the table, so only one of them may stop tasks in a round.
-            (outdated.isPresent() ? outdated : evacuation(now)).ifPresent(commands::add);
+            (outdated.isPresent() ? outdated : drainMoves(now)).ifPresent(commands::add);
         }
         inFlight = CompletableFuture.allOf(commands.stream()
                 .map(command -> proposals.propose(command).exceptionally(failure -> null))
@@ -235,7 +235,7 @@
      * Returns the command that stops the next service tasks in drained data centres. The list of workers is requested
      * in one round and used in a later one, so that a scheduler that does not answer delays no delegation.
      */
-    private Optional<TaskCommand> evacuation(long now) {
+    private Optional<TaskCommand> drainMoves(long now) {
         if (table.drainedDataCentres().isEmpty() || now - workersRequestedNanos >= MAX_WORKER_LIST_AGE_NANOS) {
             workerList = null;
         }
@@ -243,7 +243,7 @@
             return Optional.empty();
         }
         if (workerList == null) {
-            if (now - workersRequestedNanos >= EVACUATION_INTERVAL_NANOS) {
+            if (now - workersRequestedNanos >= DRAIN_MOVE_INTERVAL_NANOS) {
                 workersRequestedNanos = now;
                 workerList = exchange.workers();
             }
@@ -254,7 +254,7 @@
         }
         List<TaskId> stops = workerList.isCompletedExceptionally()
                 ? List.of()
-                : DataCentreEvacuation.nextStops(table, workerList.join());
+                : DataCentreDrainMoves.nextStops(table, workerList.join());
         workerList = null;
         stops.forEach(id -> LOG.infof(
                 "event=task-stop task=%s dataCentre=%s reason=data-centre-drained",
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/tasks/RollingRestart.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/tasks/RollingRestart.java
@@ -12,7 +12,7 @@
 
 /**
  * Restarts the tasks of changed services so that at most a quarter of a service's tasks are down at once, or one task
- * if a quarter is less than one. Tasks in drained data centres are left to {@link DataCentreEvacuation}, since they
+ * if a quarter is less than one. Tasks in drained data centres are left to {@link DataCentreDrainMoves}, since they
  * could not start again before there is capacity elsewhere.
  */
 final class RollingRestart {
--- a/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/tasks/DataCentreEvacuationTests.java
+++ b/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/tasks/DataCentreDrainMovesTests.java
@@ -23,7 +23,7 @@
 import org.junit.jupiter.api.Test;
 
 /** Guards against a drain that takes a service down: by stopping too many tasks, or tasks without room elsewhere. */
-class DataCentreEvacuationTests {
+class DataCentreDrainMovesTests {
     private static final DataCentreId LEFT = DataCentreId.of("dc1");
     private static final DataCentreId OTHER = DataCentreId.of("dc2");
     private static final Resources TASK = Resources.of(400, 100, 0);
@@ -80,7 +80,7 @@
     }
 
     private List<String> stops(WorkerRow... workers) {
-        return DataCentreEvacuation.nextStops(table, List.of(workers)).stream()
+        return DataCentreDrainMoves.nextStops(table, List.of(workers)).stream()
                 .map(TaskId::value)
                 .toList();
     }
@@ -131,7 +131,7 @@
     }
 
     @Test
-    void leavesTasksThatAreOutdatedInADrainedDataCentreToTheEvacuation() {
+    void leavesTasksThatAreOutdatedInADrainedDataCentreToTheDrain() {
         run(4, 0);
         Manifest next = Manifests.readYaml("{kind: Service, name: quotes, team: t, replicas: 4, slots: 3, "
                         + "resources: {millicores: 400, memoryBytes: 100, accelerators: 0}}")
@@ -148,15 +148,15 @@
     void forecastsWhatFitsElsewhereWithoutADrain() {
         run(3, 2);
 
-        DrainForecast tight = DataCentreEvacuation.forecast(
+        DrainForecast tight = DataCentreDrainMoves.forecast(
                 table, LEFT, List.of(worker(LEFT, "ready", 9_000), worker(OTHER, "ready", 800)));
-        DrainForecast roomy = DataCentreEvacuation.forecast(table, LEFT, List.of(worker(OTHER, "ready", 1_200)));
+        DrainForecast roomy = DataCentreDrainMoves.forecast(table, LEFT, List.of(worker(OTHER, "ready", 1_200)));
 
         assertThat(tight)
                 .isEqualTo(
                         new DrainForecast(LEFT, false, false, List.of(new DrainForecast.Service("quotes", 3, 2)), 2));
         assertThat(roomy.fits()).isTrue();
-        assertThat(DataCentreEvacuation.forecast(table, OTHER, List.of()).fits())
+        assertThat(DataCentreDrainMoves.forecast(table, OTHER, List.of()).fits())
                 .isTrue();
     }
 
@@ -165,7 +165,7 @@
         run(1, 0);
         drain(OTHER);
 
-        assertThat(DataCentreEvacuation.forecast(table, LEFT, List.of(worker(OTHER, "ready", 10_000)))
+        assertThat(DataCentreDrainMoves.forecast(table, LEFT, List.of(worker(OTHER, "ready", 10_000)))
                         .fits())
                 .isFalse();
     }
