Review case 13: five long tasks on each worker keep later submissions from the free room after a change of leaders

Rule: LOST (an accepted submission has nothing running though there is capacity, finish_s after the end of the traffic). Cause: WorkerHealth gives a worker five tasks until one has succeeded there, and a new scheduler knows of no success.

--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -2,5 +2,5 @@
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 export TROUBLE="${TROUBLE:-1}"
-[ -f target/review-3/CrashRounds.class ] || exit 2
-exec java -cp target/review-3 CrashRounds review/13/record.txt
+[ -f target/review-3/UnprovenWorkers.class ] || exit 2
+exec java -cp target/review-3 UnprovenWorkers review/13/record.txt
