--- a/review/standins-3/SilentRead.java
+++ b/review/standins-3/SilentRead.java
@@ -3,14 +3,14 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * The operator reads a large manifest back, at one node after the other; each time the response is lost in transit,
+ * The operator reads a large manifest back, twice at one node after the other; each time the response is lost in transit,
  * since the connection goes silent. Then everything works, and submissions and the manifest are asked for.
  */
 public final class SilentRead {
     /** The largest dose of {@code big_config} on the pages. */
     private static final int ROUTES = 1400;
 
-    private static final int READS = 6;
+    private static final int READS = 12;
     private static final int FINISH_SECONDS = 14;
     private static final int RECOVERY_SECONDS = 12;
     private static final int CONTACT_SECONDS = 3;
@@ -59,10 +59,10 @@
             if (Record.trouble()) {
                 links.silenceDuringNextLargeResponse();
             }
-            read(record, links, cluster, cluster.cores.get(i % cluster.cores.size()), 2000);
+            read(record, links, cluster, cluster.cores.get(i / 2 % cluster.cores.size()), 2000);
             links.disarm();
             record.line(links.counts());
-            Thread.sleep(3000);
+            Thread.sleep(1500);
         }
         record.line("from here on nothing is disturbed; new connections work at every node");
         TimeUnit.SECONDS.sleep(Math.max(FINISH_SECONDS, RECOVERY_SECONDS));
