Answer the requests that a stopping host has read before its listeners close

Cause: the listener was closed after two fixed pauses. Nothing counted open requests, and nothing ended the calls of the gateway by the time the process ends. Core hosts and the operator and worker listeners of waxwingheadd closed in the same way. Ruled out: a successor that comes too late; the log names it 130 ms before the connections end. Fix: HttpListener counts requests until their responses are complete and can wait for them; JobGateway ends all calls by a given time, as refused if they have not run and as unknown otherwise. Why it works: the listener closes only once no request is open, and the gateway bounds how long one can be open.

--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/Daemon.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/Daemon.java
@@ -58,6 +58,7 @@
     private final CompletableFuture<Integer> ended = new CompletableFuture<>();
     private final CompletableFuture<Void> drained = new CompletableFuture<>();
     private List<DaemonPart> parts = List.of();
+    private List<HttpListener> listeners = List.of();
 
     private Daemon(DaemonSettings settings) {
         this.settings = settings;
@@ -114,6 +115,7 @@
                 settings.host(), settings.drainTimeout().toMillis());
         Deadline deadline = Deadline.after(settings.drainTimeout(), ticker);
         awaitPartDrains(deadline);
+        listeners.forEach(listener -> listener.awaitResponses(deadline, ticker));
         close();
         LOG.infof("event=drained host=%s", settings.host());
         drained.complete(null);
@@ -161,7 +163,8 @@
         List<DaemonPart> all = new ArrayList<>(working);
         all.add(operator);
         startParts(all, context);
-        List.of(callerHttp, workerHttp, operatorHttp).forEach(HttpListener::start);
+        listeners = List.of(callerHttp, workerHttp, operatorHttp);
+        listeners.forEach(HttpListener::start);
         LOG.infof(
                 "event=ready host=%s dataCentre=%s callers=%s workers=%s operators=%s peers=%s",
                 settings.host(),
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/http/HttpListener.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/http/HttpListener.java
@@ -6,6 +6,8 @@
 import dev.waxwinghead.daemon.log.Event;
 import dev.waxwinghead.model.error.ErrorKind;
 import dev.waxwinghead.model.error.WaxwingheadException;
+import dev.waxwinghead.model.time.Deadline;
+import dev.waxwinghead.model.time.Ticker;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.concurrent.Executor;
@@ -20,9 +22,11 @@
     private static final int BACKLOG = 1_024;
 
     private final HttpServer server;
+    private final OpenExchanges exchanges;
 
-    private HttpListener(HttpServer server) {
+    private HttpListener(HttpServer server, OpenExchanges exchanges) {
         this.server = server;
+        this.exchanges = exchanges;
     }
 
     /**
@@ -36,8 +40,9 @@
     public static HttpListener open(InetSocketAddress address, Executor executor) {
         try {
             HttpServer server = HttpServer.create(address, BACKLOG);
-            server.setExecutor(executor);
-            return new HttpListener(server);
+            OpenExchanges exchanges = new OpenExchanges();
+            server.setExecutor(exchanges.counting(executor));
+            return new HttpListener(server, exchanges);
         } catch (IOException e) {
             throw WaxwingheadException.of(
                     ErrorKind.UNAVAILABLE,
@@ -54,7 +59,7 @@
      * @param handler the handler
      */
     public void route(String prefix, HttpHandler handler) {
-        server.createContext(prefix, exchange -> handle(exchange, handler));
+        server.createContext(prefix, exchange -> handle(exchanges.track(exchange), handler));
     }
 
     /** Starts serving. */
@@ -71,6 +76,25 @@
         return server.getAddress();
     }
 
+    /**
+     * Waits until every request that has been read has a complete response. To be called before the listener is closed,
+     * which ends all connections. New requests are still served meanwhile.
+     *
+     * @param deadline the time at which to give up waiting
+     * @param ticker the clock of the deadline
+     * @return false if a request still has no complete response at the deadline, or the thread was interrupted
+     */
+    public boolean awaitResponses(Deadline deadline, Ticker ticker) {
+        int open = exchanges.awaitNone(deadline, ticker);
+        if (open > 0) {
+            Event.of("responses-not-complete")
+                    .with("address", address())
+                    .with("open", open)
+                    .write();
+        }
+        return open == 0;
+    }
+
     @Override
     public void close() {
         server.stop(0);
--- /dev/null
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/http/OpenExchanges.java
@@ -0,0 +1,66 @@
+package dev.waxwinghead.daemon.http;
+
+import com.sun.net.httpserver.HttpExchange;
+import dev.waxwinghead.model.time.Deadline;
+import dev.waxwinghead.model.time.Ticker;
+import java.util.concurrent.Executor;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.TimeUnit;
+
+/** Counts the requests of a listener that are being read or have no complete response yet. */
+final class OpenExchanges {
+    private int open;
+
+    /** Returns an executor that counts the server's actions, each of which reads a request, from submission to end. */
+    Executor counting(Executor executor) {
+        return action -> {
+            begin();
+            try {
+                executor.execute(() -> {
+                    try {
+                        action.run();
+                    } finally {
+                        end();
+                    }
+                });
+            } catch (RejectedExecutionException e) {
+                end();
+                throw e;
+            }
+        };
+    }
+
+    /** Returns an exchange that counts as open until its response is complete or it is closed. */
+    HttpExchange track(HttpExchange exchange) {
+        begin();
+        return new TrackedExchange(exchange, this::end);
+    }
+
+    private synchronized void begin() {
+        open++;
+    }
+
+    private synchronized void end() {
+        open--;
+        if (open == 0) {
+            notifyAll();
+        }
+    }
+
+    /**
+     * Waits until no request is open.
+     *
+     * @return the number of open requests when the wait ended: 0, unless the deadline passed or the thread was
+     *     interrupted
+     */
+    synchronized int awaitNone(Deadline deadline, Ticker ticker) {
+        try {
+            while (open > 0 && !deadline.passed(ticker)) {
+                TimeUnit.NANOSECONDS.timedWait(this, deadline.remaining(ticker).toNanos());
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        return open;
+    }
+}
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/GatewayEvents.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/GatewayEvents.java
@@ -26,6 +26,8 @@
         TOO_MANY_CALLS,
         /** The caller's time is shorter than a further answer takes. */
         TIME_OVER,
+        /** This host stops before a further answer could arrive. */
+        STOPPING,
         /** No host with a replica of the log is reachable. */
         NO_HOST,
         /** A majority of the disks refuses writes. */
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobGateway.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobGateway.java
@@ -91,6 +91,9 @@
     /** The number of attempts under way of calls that had to wait. Guarded by this object's monitor. */
     private int pacedAttempts;
 
+    /** The time by which this host answers all calls, empty until it stops. Guarded by this object's monitor. */
+    private Optional<Deadline> lastAnswer = Optional.empty();
+
     private final AtomicBoolean checkRequested = new AtomicBoolean();
 
     private JobGateway(
@@ -159,6 +162,17 @@
         return waiting;
     }
 
+    /**
+     * Ends all calls by the given time, since this host stops. Later calls are routed as before while an answer can
+     * still arrive in time.
+     *
+     * @param deadline the time by which each call is answered; a call that may have had an effect by then fails with
+     *     kind {@code UNKNOWN_OUTCOME}, any other with {@code UNAVAILABLE}
+     */
+    public synchronized void answerAllBy(Deadline deadline) {
+        lastAnswer = Optional.of(deadline);
+    }
+
     /**
      * Routes a call to the acting scheduler and sends it again until it is answered or the caller's time is over.
      *
@@ -181,6 +195,11 @@
                 events.refused(routed, GatewayEvents.Refusal.TOO_MANY_CALLS);
                 return CompletableFuture.failedFuture(noEffect(routed.reason));
             }
+            if (lastAnswer.isPresent() && remaining(routed).compareTo(ANSWER_TIME) < 0) {
+                routed.reason = "this host stops";
+                events.refused(routed, GatewayEvents.Refusal.STOPPING);
+                return CompletableFuture.failedFuture(noEffect(routed.reason));
+            }
             sendNow = scheduler.isPresent() && waiting == 0;
             open.add(routed);
             openBytes += routed.request.length;
@@ -230,7 +249,7 @@
                     continue;
                 }
                 if (timeOver(call)) {
-                    actions.add(giveUp(call, GatewayEvents.Refusal.TIME_OVER));
+                    actions.add(giveUp(call, timeOverReason(call)));
                 } else if (!reachable && !call.mayHaveRun) {
                     call.reason = "no host with a replica of the log is reachable";
                     actions.add(giveUp(call, GatewayEvents.Refusal.NO_HOST));
@@ -251,7 +270,22 @@
     private boolean timeOver(RoutedCall call) {
         Duration needed = call.mayHaveRun ? Duration.ofMillis(CHECK_INTERVAL_MILLIS) : ANSWER_TIME;
         boolean attempted = call.attempts > 0 || finder.acting().isEmpty();
-        return attempted ? call.deadline.remaining(ticker).compareTo(needed) < 0 : call.deadline.passed(ticker);
+        return attempted
+                ? remaining(call).compareTo(needed) < 0
+                : deadline(call).passed(ticker);
+    }
+
+    /** Returns the time by which a call is answered: its caller's deadline, or an earlier stop of this host. */
+    private Deadline deadline(RoutedCall call) {
+        return lastAnswer.map(call.deadline::earlier).orElse(call.deadline);
+    }
+
+    private Duration remaining(RoutedCall call) {
+        return deadline(call).remaining(ticker);
+    }
+
+    private GatewayEvents.Refusal timeOverReason(RoutedCall call) {
+        return deadline(call).equals(call.deadline) ? GatewayEvents.Refusal.TIME_OVER : GatewayEvents.Refusal.STOPPING;
     }
 
     private boolean mayBegin(RoutedCall call, SchedulerEpoch scheduler) {
@@ -293,7 +327,10 @@
     private void send(RoutedCall call, int attempt, SchedulerEpoch scheduler) {
         HostId target = scheduler.host();
         byte[] request = JobCallCodec.attempt(call.request, scheduler.epoch());
-        Deadline limit = call.deadline.earlier(Deadline.after(ATTEMPT_TIMEOUT, ticker));
+        Deadline limit;
+        synchronized (this) {
+            limit = deadline(call).earlier(Deadline.after(ATTEMPT_TIMEOUT, ticker));
+        }
         CompletableFuture<byte[]> sent;
         try {
             sent = network.call(target, PeerChannel.JOBS, request, limit);
@@ -409,7 +446,7 @@
         end(call);
         call.reason = reason;
         call.notBeforeNanos = ticker.nanos() + RETRY_DELAY_NANOS;
-        return timeOver(call) ? giveUp(call, GatewayEvents.Refusal.TIME_OVER) : () -> {};
+        return timeOver(call) ? giveUp(call, timeOverReason(call)) : () -> {};
     }
 
     private Runnable giveUp(RoutedCall call, GatewayEvents.Refusal refusal) {
--- a/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/http/HttpListenerTests.java
+++ b/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/http/HttpListenerTests.java
@@ -2,8 +2,12 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpHandler;
 import dev.waxwinghead.daemon.part.ThreadPools;
 import dev.waxwinghead.model.lifecycle.Closer;
+import dev.waxwinghead.model.time.Deadline;
+import dev.waxwinghead.model.time.Ticker;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.URI;
@@ -11,11 +15,17 @@
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.time.Duration;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
 class HttpListenerTests {
     private static final Duration ANSWER_TIMEOUT = Duration.ofSeconds(5);
+    private static final Duration SHORT = Duration.ofMillis(50);
 
     private final Closer closer = Closer.create();
 
@@ -27,21 +37,85 @@
     /** Guards against a caller that waits for an answer after the handler's thread has ended. */
     @Test
     void answersEachRequestWhoseHandlerFailsWithAnError() throws Exception {
-        HttpListener listener = closer.register(HttpListener.open(
-                new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), ThreadPools.bounded("http", 1, closer)));
-        listener.route("/", exchange -> {
+        HttpListener listener = listen(exchange -> {
             throw new StackOverflowError();
         });
-        listener.start();
-        HttpRequest request = HttpRequest.newBuilder(
-                        URI.create("http://127.0.0.1:" + listener.address().getPort() + "/"))
-                .timeout(ANSWER_TIMEOUT)
-                .build();
         for (int i = 0; i < 3; i++) {
             assertThat(HttpClient.newHttpClient()
-                            .send(request, HttpResponse.BodyHandlers.discarding())
+                            .send(request(listener), HttpResponse.BodyHandlers.discarding())
                             .statusCode())
                     .isEqualTo(500);
         }
     }
+
+    @Nested
+    class AwaitingResponses {
+        private final BlockingQueue<HttpExchange> exchanges = new LinkedBlockingQueue<>();
+        private final HttpListener listener = listen(exchanges::add);
+
+        /** Guards against a listener that is closed while the answer to a request is computed on another thread. */
+        @Test
+        void lastsUntilTheHandlerHasResponded() throws Exception {
+            CompletableFuture<HttpResponse<String>> response = send();
+            HttpExchange exchange = exchanges.take();
+            CompletableFuture<Boolean> complete = CompletableFuture.supplyAsync(() -> await(ANSWER_TIMEOUT));
+            assertThat(await(SHORT)).isFalse();
+            assertThat(complete.isDone()).isFalse();
+
+            JsonExchange.respond(exchange, 200, "late");
+            assertThat(complete.get(ANSWER_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS))
+                    .isTrue();
+            listener.close();
+            assertThat(response.get(ANSWER_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)
+                            .body())
+                    .isEqualTo("\"late\"");
+        }
+
+        @Test
+        void lastsUntilAStreamedBodyHasBeenWritten() throws Exception {
+            CompletableFuture<HttpResponse<String>> response = send();
+            HttpExchange exchange = exchanges.take();
+            exchange.sendResponseHeaders(200, 0);
+            exchange.getResponseBody().write('a');
+            assertThat(await(SHORT)).isFalse();
+
+            exchange.getResponseBody().close();
+            assertThat(await(ANSWER_TIMEOUT)).isTrue();
+            assertThat(response.get(ANSWER_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)
+                            .body())
+                    .isEqualTo("a");
+        }
+
+        @Test
+        void endsAtOnceWithoutRequests() throws Exception {
+            assertThat(await(Duration.ZERO)).isTrue();
+            CompletableFuture<HttpResponse<String>> response = send();
+            exchanges.take().sendResponseHeaders(204, -1);
+            response.get(ANSWER_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+            assertThat(await(ANSWER_TIMEOUT)).isTrue();
+        }
+
+        private boolean await(Duration time) {
+            return listener.awaitResponses(Deadline.after(time, Ticker.system()), Ticker.system());
+        }
+
+        private CompletableFuture<HttpResponse<String>> send() {
+            return HttpClient.newHttpClient().sendAsync(request(listener), HttpResponse.BodyHandlers.ofString());
+        }
+    }
+
+    private HttpListener listen(HttpHandler handler) {
+        HttpListener listener = closer.register(HttpListener.open(
+                new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), ThreadPools.bounded("http", 1, closer)));
+        listener.route("/", handler);
+        listener.start();
+        return listener;
+    }
+
+    private static HttpRequest request(HttpListener listener) {
+        return HttpRequest.newBuilder(
+                        URI.create("http://127.0.0.1:" + listener.address().getPort() + "/"))
+                .timeout(ANSWER_TIMEOUT)
+                .build();
+    }
 }
--- a/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/jobs/JobGatewayTests.java
+++ b/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/jobs/JobGatewayTests.java
@@ -113,6 +113,50 @@
         }
     }
 
+    /** Guards against calls that are abandoned when the entry host stops, and against refusals that are not true. */
+    @Nested
+    class CallsOfAHostThatStops {
+        private static final Duration TIME_LEFT = Duration.ofSeconds(1);
+
+        private CompletableFuture<JobAnswer> beforeTheStop(JobCall call) {
+            CompletableFuture<JobAnswer> answer = gateway.call(call, Deadline.after(CALLER_TIME, clock));
+            gateway.answerAllBy(Deadline.after(TIME_LEFT, clock));
+            return answer;
+        }
+
+        private ErrorKind kindOf(CompletableFuture<JobAnswer> answer) {
+            assertThat(answer.isDone()).isTrue();
+            return WaxwingheadException.from(assertThrows(CompletionException.class, answer::join))
+                    .kind();
+        }
+
+        @Test
+        void failAsUnavailableIfNoAttemptCanHaveRun() {
+            network.failAlways(ErrorKind.UNAVAILABLE);
+            CompletableFuture<JobAnswer> answer = beforeTheStop(CANCEL);
+            assertThat(answer.isDone()).isFalse();
+            clock.advance(TIME_LEFT.toNanos());
+            assertThat(kindOf(answer)).isEqualTo(ErrorKind.UNAVAILABLE);
+        }
+
+        @Test
+        void failAsUnknownIfAnAttemptMayHaveRun() {
+            network.fail(ErrorKind.UNKNOWN_OUTCOME);
+            network.failAlways(ErrorKind.UNAVAILABLE);
+            CompletableFuture<JobAnswer> answer = beforeTheStop(CANCEL);
+            clock.advance(TIME_LEFT.toNanos());
+            assertThat(kindOf(answer)).isEqualTo(ErrorKind.UNKNOWN_OUTCOME);
+        }
+
+        @Test
+        void areNotSentWithoutTimeForAnAnswer() {
+            gateway.answerAllBy(Deadline.after(JobGateway.ANSWER_TIME.dividedBy(2), clock));
+            network.failAlways(ErrorKind.UNKNOWN_OUTCOME);
+            CompletableFuture<JobAnswer> answer = gateway.call(CANCEL, Deadline.after(CALLER_TIME, clock));
+            assertThat(kindOf(answer)).isEqualTo(ErrorKind.UNAVAILABLE);
+        }
+    }
+
     @Nested
     class StatusOfAHostThatJoins {
         private static final HostId MEMBER = HostId.of("10.0.0.2");
