Carry out an order for a data centre only while its sender waits, and never after a later one

Callers saw: a drained data centre was undrained, which was answered; then a host that had stood still read the first attempt of the drain and carried it out. Cause: a host proposed an order when it read it, and the table applied orders in the order of the log. Nothing told an order that its sender had given up and replaced. The log of the woken host names the drain at index 12, after the undrain at 11. Ruled out: a resent order through the leader; the command of index 12 was proposed by the woken host. Fix: requests have an earliest possible arrival, which accounts for pauses of the process and waits for a thread; an order is proposed only while its sender waits.

Why it works: a command that was read in time is ignored once a later order is applied, and one that was not is not proposed. No clock of another host is trusted.

--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/Daemon.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/Daemon.java
@@ -16,6 +16,7 @@
 import dev.waxwinghead.daemon.operator.OperatorPart;
 import dev.waxwinghead.daemon.part.DaemonContext;
 import dev.waxwinghead.daemon.part.DaemonPart;
+import dev.waxwinghead.daemon.part.PauseDetector;
 import dev.waxwinghead.daemon.settings.DaemonSettings;
 import dev.waxwinghead.daemon.shares.SharesPart;
 import dev.waxwinghead.daemon.state.LogSharedState;
@@ -140,8 +141,9 @@
 
         HttpListener callerHttp = closer.register(HttpListener.open(settings.callerListen(), executors.callers()));
         HttpListener workerHttp = closer.register(HttpListener.open(settings.workerListen(), executors.workers()));
-        HttpListener operatorHttp =
-                closer.register(HttpListener.open(settings.operatorListen(), executors.operators()));
+        PauseDetector pauses = closer.register(PauseDetector.start(ticker, executors.timer()));
+        HttpListener operatorHttp = closer.register(
+                HttpListener.open(settings.operatorListen(), executors.operators(), pauses::earliestArrivalNanos));
         DaemonContext context = new DaemonContext(
                 settings,
                 ticker,
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/http/HttpListener.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/http/HttpListener.java
@@ -11,6 +11,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.concurrent.Executor;
+import java.util.function.LongSupplier;
 
 /**
  * Listens for HTTP requests on one address.
@@ -38,9 +39,23 @@
      * @throws WaxwingheadException if the address can't be bound
      */
     public static HttpListener open(InetSocketAddress address, Executor executor) {
+        return open(address, executor, Ticker.system()::nanos);
+    }
+
+    /**
+     * Binds the address as {@link #open(InetSocketAddress, Executor)} does.
+     *
+     * @param address the address to listen on
+     * @param executor the executor that runs the handlers
+     * @param earliestArrival returns the earliest time at which a request can have arrived that is read now, in
+     *     nanoseconds of the system's ticker
+     * @return the listener, never null
+     * @throws WaxwingheadException if the address can't be bound
+     */
+    public static HttpListener open(InetSocketAddress address, Executor executor, LongSupplier earliestArrival) {
         try {
             HttpServer server = HttpServer.create(address, BACKLOG);
-            OpenExchanges exchanges = new OpenExchanges();
+            OpenExchanges exchanges = new OpenExchanges(earliestArrival);
             server.setExecutor(exchanges.counting(executor));
             return new HttpListener(server, exchanges);
         } catch (IOException e) {
@@ -62,6 +77,17 @@
         server.createContext(prefix, exchange -> handle(exchanges.track(exchange), handler));
     }
 
+    /**
+     * Returns the earliest time at which a request can have arrived. It is earlier than the time of the call if the
+     * request had to wait for a thread, or if this process stood still.
+     *
+     * @param exchange the exchange, as passed to a handler
+     * @return the time in nanoseconds of the system's ticker
+     */
+    public static long earliestArrivalNanos(HttpExchange exchange) {
+        return ((TrackedExchange) exchange).earliestArrivalNanos();
+    }
+
     /** Starts serving. */
     public void start() {
         server.start();
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/http/OpenExchanges.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/http/OpenExchanges.java
@@ -6,20 +6,34 @@
 import java.util.concurrent.Executor;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 
 /** Counts the requests of a listener that are being read or have no complete response yet. */
 final class OpenExchanges {
+    private final LongSupplier earliestArrival;
+
+    /** The earliest arrival of the request that the current thread reads or handles. */
+    private final ThreadLocal<Long> currentArrival = new ThreadLocal<>();
+
     private int open;
 
+    /** @param earliestArrival returns the earliest time at which a request can have arrived that is read now */
+    OpenExchanges(LongSupplier earliestArrival) {
+        this.earliestArrival = earliestArrival;
+    }
+
     /** Returns an executor that counts the server's actions, each of which reads a request, from submission to end. */
     Executor counting(Executor executor) {
         return action -> {
+            long arrival = earliestArrival.getAsLong();
             begin();
             try {
                 executor.execute(() -> {
+                    currentArrival.set(arrival);
                     try {
                         action.run();
                     } finally {
+                        currentArrival.remove();
                         end();
                     }
                 });
@@ -33,7 +47,7 @@
     /** Returns an exchange that counts as open until its response is complete or it is closed. */
     HttpExchange track(HttpExchange exchange) {
         begin();
-        return new TrackedExchange(exchange, this::end);
+        return new TrackedExchange(exchange, currentArrival.get(), this::end);
     }
 
     private synchronized void begin() {
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/http/Requests.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/http/Requests.java
@@ -1,16 +1,23 @@
 package dev.waxwinghead.daemon.http;
 
 import com.sun.net.httpserver.HttpExchange;
+import dev.waxwinghead.daemon.log.Event;
 import dev.waxwinghead.model.error.ErrorKind;
 import dev.waxwinghead.model.error.WaxwingheadException;
+import dev.waxwinghead.model.time.Ticker;
 import java.net.URLDecoder;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 
 /** Checks and extracts parts of HTTP requests. */
 public final class Requests {
+    /** How long the command line waits for an answer before it sends a request to another host. */
+    private static final Duration SENDER_TIMEOUT = Duration.ofSeconds(6);
+
     private Requests() {}
 
     /**
@@ -30,6 +37,29 @@
         }
     }
 
+    /**
+     * Checks that a request may change something: that it is a POST, and that its sender can still be waiting for the
+     * answer. A sender that has given up may have sent the opposite request since.
+     *
+     * @param exchange the exchange, as passed to a handler by a listener
+     * @throws WaxwingheadException if the request has a different method, or has waited too long to be read
+     */
+    public static void requireOrder(HttpExchange exchange) {
+        requireMethod(exchange, "POST");
+        long waitedNanos = Ticker.system().nanos() - HttpListener.earliestArrivalNanos(exchange);
+        if (waitedNanos >= SENDER_TIMEOUT.toNanos()) {
+            Event.of("order-expired")
+                    .with("path", exchange.getRequestURI())
+                    .with("waitedMillis", TimeUnit.NANOSECONDS.toMillis(waitedNanos))
+                    .write();
+            throw WaxwingheadException.of(
+                    ErrorKind.UNAVAILABLE,
+                    "the request may have waited " + TimeUnit.NANOSECONDS.toMillis(waitedNanos)
+                            + " ms before it was read, the limit is " + SENDER_TIMEOUT.toMillis() + " ms",
+                    "the request had no effect; send it again");
+        }
+    }
+
     /**
      * Returns the segments of the path after a prefix.
      *
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/http/TrackedExchange.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/http/TrackedExchange.java
@@ -17,14 +17,20 @@
     private static final int NO_BODY = -1;
 
     private final HttpExchange exchange;
+    private final long earliestArrivalNanos;
     private final Runnable onEnd;
     private final AtomicBoolean ended = new AtomicBoolean();
 
-    TrackedExchange(HttpExchange exchange, Runnable onEnd) {
+    TrackedExchange(HttpExchange exchange, long earliestArrivalNanos, Runnable onEnd) {
         this.exchange = exchange;
+        this.earliestArrivalNanos = earliestArrivalNanos;
         this.onEnd = onEnd;
     }
 
+    long earliestArrivalNanos() {
+        return earliestArrivalNanos;
+    }
+
     private void end() {
         if (ended.compareAndSet(false, true)) {
             onEnd.run();
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobCodec.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobCodec.java
@@ -139,11 +139,24 @@
             packCommand(packer, guarded.command());
         } else if (command instanceof JobCommand.Drain drain) {
             packer.packInt(DRAIN).packString(drain.dataCentre().value());
+            packLatestKnown(packer, drain.latestKnown());
         } else if (command instanceof JobCommand.Undrain undrain) {
             packer.packInt(UNDRAIN).packString(undrain.dataCentre().value());
+            packLatestKnown(packer, undrain.latestKnown());
         }
     }
 
+    private static void packLatestKnown(MessageBufferPacker packer, long index) throws IOException {
+        if (index != JobCommand.ANY) {
+            packer.packLong(index);
+        }
+    }
+
+    private static long unpackLatestKnown(MessageUnpacker unpacker) throws IOException {
+        // Commands of earlier versions end before the index.
+        return unpacker.hasNext() ? unpacker.unpackLong() : JobCommand.ANY;
+    }
+
     private static JobCommand unpackCommand(MessageUnpacker unpacker) throws IOException {
         int type = unpacker.unpackInt();
         return switch (type) {
@@ -152,8 +165,9 @@
             case CANCEL -> new JobCommand.Cancel(JobId.of(unpacker.unpackString()));
             case ADVANCE -> unpackAdvance(unpacker);
             case IN_EPOCH -> new JobCommand.InEpoch(unpacker.unpackLong(), unpackCommand(unpacker));
-            case DRAIN -> new JobCommand.Drain(DataCentreId.of(unpacker.unpackString()));
-            case UNDRAIN -> new JobCommand.Undrain(DataCentreId.of(unpacker.unpackString()));
+            case DRAIN -> new JobCommand.Drain(DataCentreId.of(unpacker.unpackString()), unpackLatestKnown(unpacker));
+            case UNDRAIN ->
+                new JobCommand.Undrain(DataCentreId.of(unpacker.unpackString()), unpackLatestKnown(unpacker));
             default -> throw new IOException("unknown command type " + type);
         };
     }
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobHost.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobHost.java
@@ -149,7 +149,7 @@
                 settings,
                 log,
                 JobClassService.of(sharedState, classes),
-                DataCentreDrains.of(sharedState),
+                DataCentreDrains.of(sharedState, jobs.table(), ticker),
                 engine,
                 service,
                 classes,
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobSection.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobSection.java
@@ -62,6 +62,10 @@
                 MessagePackCodec.list(packer, notBegun(), (out, job) -> out.packString(job.value()));
                 MessagePackCodec.list(
                         packer, table.drainedDataCentres(), (out, dataCentre) -> out.packString(dataCentre.value()));
+                MessagePackCodec.list(
+                        packer,
+                        table.latestDrainCommands().entrySet(),
+                        (out, latest) -> out.packString(latest.getKey().value()).packLong(latest.getValue()));
             });
         }
     }
@@ -89,12 +93,21 @@
                     MessagePackCodec.list(unpacker, in -> DataCentreId.of(in.unpackString()))
                             .forEach(table::restoreDrained);
                 }
+                if (unpacker.hasNext()) {
+                    MessagePackCodec.list(unpacker, this::unpackLatestDrainCommand);
+                }
                 return epoch;
             });
         }
         listener.run();
     }
 
+    private DataCentreId unpackLatestDrainCommand(MessageUnpacker unpacker) throws IOException {
+        DataCentreId dataCentre = DataCentreId.of(unpacker.unpackString());
+        table.restoreLatestDrainCommand(dataCentre, unpacker.unpackLong());
+        return dataCentre;
+    }
+
     private static void packJob(MessageBufferPacker packer, JobRecord job) throws IOException {
         JobCodec.packAccept(packer, new JobCommand.Accept(job.submission(), job.terms(), job.acceptedEpochMillis()));
         packer.packInt(job.state().code());
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/operator/ChangesHandler.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/operator/ChangesHandler.java
@@ -39,7 +39,7 @@
 
     @Override
     public void handle(HttpExchange exchange) throws IOException {
-        Requests.requireMethod(exchange, "POST");
+        Requests.requireOrder(exchange);
         ConfigurationChange change =
                 JsonExchange.read(exchange, ChangeRequest.class).toChange();
         JsonExchange.handleWhenComplete(
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/operator/DrainHandler.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/operator/DrainHandler.java
@@ -27,7 +27,7 @@
 
     @Override
     public void handle(HttpExchange exchange) throws IOException {
-        Requests.requireMethod(exchange, "POST");
+        Requests.requireOrder(exchange);
         DrainRequest request = JsonExchange.read(exchange, DrainRequest.class);
         request.validate();
         if (request.dataCentre != null) {
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/operator/MembersHandler.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/operator/MembersHandler.java
@@ -26,7 +26,7 @@
 
     @Override
     public void handle(HttpExchange exchange) throws IOException {
-        Requests.requireMethod(exchange, "POST");
+        Requests.requireOrder(exchange);
         HostId host = JsonExchange.read(exchange, RemoveRequest.class).host;
         if (host == null) {
             throw WaxwingheadException.of(ErrorKind.INVALID_INPUT, "host is missing", "name the entry host to remove");
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/operator/UndrainHandler.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/operator/UndrainHandler.java
@@ -22,7 +22,7 @@
 
     @Override
     public void handle(HttpExchange exchange) throws IOException {
-        Requests.requireMethod(exchange, "POST");
+        Requests.requireOrder(exchange);
         UndrainRequest request = JsonExchange.read(exchange, UndrainRequest.class);
         if (request.changeId == null || request.dataCentre == null) {
             throw WaxwingheadException.of(
--- a/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/http/HttpListenerTests.java
+++ b/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/http/HttpListenerTests.java
@@ -15,8 +15,11 @@
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
@@ -104,6 +107,35 @@
         }
     }
 
+    /** Guards against an order that waited for a thread and is carried out after its sender has replaced it. */
+    @Test
+    void tellsHowLongARequestWaitedForAThread() throws Exception {
+        BlockingQueue<Long> arrivals = new LinkedBlockingQueue<>();
+        CountDownLatch release = new CountDownLatch(1);
+        HttpListener listener = listen(exchange -> {
+            arrivals.add(HttpListener.earliestArrivalNanos(exchange));
+            try {
+                release.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+            JsonExchange.respond(exchange, 200, "");
+        });
+        List<CompletableFuture<HttpResponse<String>>> responses = new ArrayList<>();
+        responses.add(HttpClient.newHttpClient().sendAsync(request(listener), HttpResponse.BodyHandlers.ofString()));
+        assertThat(arrivals.take()).isAtMost(System.nanoTime());
+        responses.add(HttpClient.newHttpClient().sendAsync(request(listener), HttpResponse.BodyHandlers.ofString()));
+        TimeUnit.MILLISECONDS.sleep(300);
+        long releasedNanos = System.nanoTime();
+        release.countDown();
+        assertThat(releasedNanos - arrivals.take()).isAtLeast(TimeUnit.MILLISECONDS.toNanos(50));
+        for (CompletableFuture<HttpResponse<String>> response : responses) {
+            assertThat(response.get(ANSWER_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)
+                            .statusCode())
+                    .isEqualTo(200);
+        }
+    }
+
     private HttpListener listen(HttpHandler handler) {
         HttpListener listener = closer.register(HttpListener.open(
                 new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), ThreadPools.bounded("http", 1, closer)));
--- a/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/jobs/JobSectionTests.java
+++ b/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/jobs/JobSectionTests.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import dev.waxwinghead.daemon.codec.MessagePackCodec;
 import dev.waxwinghead.model.id.DataCentreId;
 import dev.waxwinghead.model.id.HostId;
 import dev.waxwinghead.model.id.JobClassName;
@@ -40,6 +41,7 @@
     private static final int GANGS_BYTES = 23;
     private static final int NOT_BEGUN_BYTES = 1;
     private static final int DRAINED_BYTES = 1;
+    private static final int DRAIN_COMMANDS_BYTES = 1;
 
     /** A gang of four whose members run, in a snapshot without the list of gangs. */
     private static final String EARLIER_RUNNING =
@@ -114,7 +116,8 @@
         fill();
         byte[] snapshot = section.snapshot();
         byte[] earlier = Arrays.copyOf(
-                snapshot, snapshot.length - CRASHES_BYTES - GANGS_BYTES - NOT_BEGUN_BYTES - DRAINED_BYTES);
+                snapshot,
+                snapshot.length - CRASHES_BYTES - GANGS_BYTES - NOT_BEGUN_BYTES - DRAINED_BYTES - DRAIN_COMMANDS_BYTES);
         JobSection restored = new JobSection();
         restored.restore(earlier);
         assertThat(restored.snapshot()).hasLength(snapshot.length + "saved".length());
@@ -163,20 +166,62 @@
         /** Guards against replicas whose snapshots differ because the drains were applied in another order. */
         @Test
         void haveASnapshotThatDoesNotDependOnTheOrderOfTheDrains() {
-            apply(new JobCommand.Drain(A));
-            apply(new JobCommand.Drain(B));
             JobSection other = new JobSection();
-            other.apply(1, JobCodec.pack(new JobCommand.Drain(B)));
-            other.apply(2, JobCodec.pack(new JobCommand.Drain(A)));
+            applyAll(section, new JobCommand.Drain(A), new JobCommand.Drain(B));
+            applyAll(other, new JobCommand.Drain(B), new JobCommand.Drain(A));
+            for (JobSection each : List.of(section, other)) {
+                each.apply(3, JobCodec.pack(new JobCommand.Drain(A)));
+                each.apply(4, JobCodec.pack(new JobCommand.Drain(B)));
+            }
             assertThat(other.snapshot()).isEqualTo(section.snapshot());
         }
 
+        private void applyAll(JobSection target, JobCommand first, JobCommand second) {
+            target.apply(1, JobCodec.pack(first));
+            target.apply(2, JobCodec.pack(second));
+        }
+
+        /** Guards against a late order that a replica takes for a new one since it was restored from a snapshot. */
+        @Test
+        void areNotChangedByALateOrderAfterASnapshot() {
+            assertThat(outcome(new JobCommand.Drain(A, 0))).isEqualTo(JobOutcome.APPLIED);
+            assertThat(outcome(new JobCommand.Undrain(A, index))).isEqualTo(JobOutcome.APPLIED);
+            byte[] snapshot = section.snapshot();
+            section.restore(snapshot);
+            assertThat(section.snapshot()).isEqualTo(snapshot);
+            assertThat(section.table().latestDrainCommand(A)).isEqualTo(index);
+            assertThat(outcome(new JobCommand.Drain(A, 0))).isEqualTo(JobOutcome.SUPERSEDED);
+            assertThat(section.table().drainedDataCentres()).isEmpty();
+        }
+
+        @Test
+        void areChangedByAnOrderAfterASnapshotWithoutTheLatestOnes() {
+            assertThat(outcome(new JobCommand.Undrain(A, 0))).isEqualTo(JobOutcome.REPEATED);
+            long latest = index;
+            JobSection empty = new JobSection();
+            byte[] earlier = empty.snapshot();
+            section.restore(Arrays.copyOf(earlier, earlier.length - DRAIN_COMMANDS_BYTES));
+            assertThat(outcome(new JobCommand.Drain(A, latest))).isEqualTo(JobOutcome.APPLIED);
+        }
+
+        /** Guards against commands that hosts of different versions read differently. */
+        @Test
+        void areChangedByCommandsOfEarlierVersions() {
+            byte[] drain = MessagePackCodec.pack(packer -> packer.packInt(5).packString("dc-a"));
+            byte[] undrain = MessagePackCodec.pack(packer -> packer.packInt(6).packString("dc-a"));
+            assertThat(JobCodec.unpack(drain)).isEqualTo(new JobCommand.Drain(A));
+            assertThat(JobCodec.pack(new JobCommand.Drain(A))).isEqualTo(drain);
+            assertThat(outcome(new JobCommand.Drain(A, 0))).isEqualTo(JobOutcome.APPLIED);
+            assertThat(JobCodec.unpackOutcome(section.apply(++index, undrain))).isEqualTo(JobOutcome.APPLIED);
+            assertThat(JobCodec.unpackOutcome(section.apply(++index, drain))).isEqualTo(JobOutcome.APPLIED);
+        }
+
         @Test
         void areNoneInASnapshotOfAnEarlierVersion() {
             fill();
             byte[] snapshot = section.snapshot();
             apply(new JobCommand.Drain(A));
-            section.restore(Arrays.copyOf(snapshot, snapshot.length - DRAINED_BYTES));
+            section.restore(Arrays.copyOf(snapshot, snapshot.length - DRAINED_BYTES - DRAIN_COMMANDS_BYTES));
             assertThat(section.table().drainedDataCentres()).isEmpty();
             assertThat(section.snapshot()).isEqualTo(snapshot);
         }
--- a/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/operator/DrainHandlerTests.java
+++ b/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/operator/DrainHandlerTests.java
@@ -12,6 +12,7 @@
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -27,13 +28,17 @@
 class DrainHandlerTests {
     private final Closer closer = Closer.create();
     private final List<String> drained = new ArrayList<>();
+    private Duration waited = Duration.ZERO;
     private HttpListener http;
 
     @BeforeEach
     void listen() {
         ExecutorService threads = Executors.newFixedThreadPool(1);
         closer.register(threads::shutdownNow);
-        http = closer.register(HttpListener.open(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), threads));
+        http = closer.register(HttpListener.open(
+                new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+                threads,
+                () -> System.nanoTime() - waited.toNanos()));
         http.route(
                 "/v1/drain",
                 new DrainHandler(
@@ -89,6 +94,16 @@
         assertThat(drained).containsExactly("data centre dc1 false");
     }
 
+    /** Guards against an order that a paused host reads after its sender has sent the opposite one elsewhere. */
+    @Test
+    void refusesAnOrderWhoseSenderHasGivenUp() throws Exception {
+        waited = Duration.ofSeconds(7);
+        assertThat(post("{\"changeId\": \"c1\", \"dataCentre\": \"dc1\"}")).isEqualTo(503);
+        assertThat(post("/v1/undrain", "{\"changeId\": \"c2\", \"dataCentre\": \"dc1\"}"))
+                .isEqualTo(503);
+        assertThat(drained).isEmpty();
+    }
+
     private CompletableFuture<Void> record(String target) {
         drained.add(target);
         return CompletableFuture.completedFuture(null);
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/JobCommand.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/JobCommand.java
@@ -11,6 +11,9 @@
  * @since 0.2
  */
 public sealed interface JobCommand {
+    /** In place of an index: the command applies whatever was applied before. */
+    long ANY = Long.MAX_VALUE;
+
     /**
      * Makes a host the acting scheduler. The index of this command in the log becomes the epoch of that scheduler.
      *
@@ -36,20 +39,42 @@
 
     /**
      * Drains a data centre: until it is undrained, no task starts on its workers. The command has no effect if the data
-     * centre is drained.
+     * centre is drained, or if it was drained or undrained by a later command than the sender knew.
      *
      * @param dataCentre the data centre
+     * @param latestKnown the index of the latest drain or undrain of the data centre that the sender knew when it
+     *     received the order, 0 if there was none, or {@link #ANY} to apply the command in any case
      * @since 0.3
      */
-    record Drain(DataCentreId dataCentre) implements JobCommand {}
+    record Drain(DataCentreId dataCentre, long latestKnown) implements JobCommand {
+        /**
+         * Returns a command that applies in any case, as those of hosts of earlier versions do.
+         *
+         * @param dataCentre the data centre
+         */
+        public Drain(DataCentreId dataCentre) {
+            this(dataCentre, ANY);
+        }
+    }
 
     /**
-     * Reverts the drain of a data centre. The command has no effect if the data centre is not drained.
+     * Reverts the drain of a data centre. The command has no effect if the data centre is not drained, or if it was
+     * drained or undrained by a later command than the sender knew.
      *
      * @param dataCentre the data centre
+     * @param latestKnown as for {@link Drain}
      * @since 0.3
      */
-    record Undrain(DataCentreId dataCentre) implements JobCommand {}
+    record Undrain(DataCentreId dataCentre, long latestKnown) implements JobCommand {
+        /**
+         * Returns a command that applies in any case, as those of hosts of earlier versions do.
+         *
+         * @param dataCentre the data centre
+         */
+        public Undrain(DataCentreId dataCentre) {
+            this(dataCentre, ANY);
+        }
+    }
 
     /**
      * Applies transitions if the epoch is that of the acting scheduler.
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/JobOutcome.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/JobOutcome.java
@@ -16,7 +16,9 @@
     /** The job to cancel was not known; it will not run if it is accepted later. */
     UNKNOWN_JOB(3),
     /** Another scheduler has taken over; nothing changed. */
-    STALE_EPOCH(4);
+    STALE_EPOCH(4),
+    /** The data centre was drained or undrained by a command that the sender did not know; nothing changed. */
+    SUPERSEDED(5);
 
     private final int code;
 
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/JobTable.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/JobTable.java
@@ -13,6 +13,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.TreeSet;
 
 /**
@@ -40,6 +41,8 @@
     private final Map<JobClassName, Integer> queued = new HashMap<>();
     /** Ordered, so that equal sets have equal snapshots. */
     private final Set<DataCentreId> drainedDataCentres = new TreeSet<>();
+    /** The index of the latest drain or undrain of each data centre, also if it changed nothing. */
+    private final Map<DataCentreId, Long> latestDrainCommands = new TreeMap<>();
 
     private long epoch;
     private long lastRunChange;
@@ -77,10 +80,10 @@
             return guarded.epoch() == epoch ? apply(index, guarded.command()) : JobOutcome.STALE_EPOCH;
         }
         if (command instanceof JobCommand.Drain drain) {
-            return drainedDataCentres.add(drain.dataCentre()) ? JobOutcome.APPLIED : JobOutcome.REPEATED;
+            return setDrained(index, drain.dataCentre(), drain.latestKnown(), true);
         }
         if (command instanceof JobCommand.Undrain undrain) {
-            return drainedDataCentres.remove(undrain.dataCentre()) ? JobOutcome.APPLIED : JobOutcome.REPEATED;
+            return setDrained(index, undrain.dataCentre(), undrain.latestKnown(), false);
         }
         return advance((JobCommand.Advance) command);
     }
@@ -141,6 +144,27 @@
         return Collections.unmodifiableSet(drainedDataCentres);
     }
 
+    /**
+     * Returns the latest command that drained or undrained a data centre, also if it changed nothing.
+     *
+     * @param dataCentre the data centre
+     * @return the index of the command in the log, 0 if there was none
+     * @since 0.3
+     */
+    public long latestDrainCommand(DataCentreId dataCentre) {
+        return latestDrainCommands.getOrDefault(dataCentre, 0L);
+    }
+
+    /**
+     * Returns the latest command that drained or undrained each data centre.
+     *
+     * @return the indexes in the order of the data centres' ids; a live view
+     * @since 0.3
+     */
+    public Map<DataCentreId, Long> latestDrainCommands() {
+        return Collections.unmodifiableMap(latestDrainCommands);
+    }
+
     /**
      * Returns the runs that may be running on a worker.
      *
@@ -192,6 +216,15 @@
         return queued.getOrDefault(jobClass, 0);
     }
 
+    private JobOutcome setDrained(long index, DataCentreId dataCentre, long latestKnown, boolean drained) {
+        if (latestDrainCommand(dataCentre) > latestKnown) {
+            return JobOutcome.SUPERSEDED;
+        }
+        latestDrainCommands.put(dataCentre, index);
+        boolean changed = drained ? drainedDataCentres.add(dataCentre) : drainedDataCentres.remove(dataCentre);
+        return changed ? JobOutcome.APPLIED : JobOutcome.REPEATED;
+    }
+
     private JobOutcome accept(JobCommand.Accept accept) {
         JobId id = accept.submission().id();
         if (jobs.containsKey(id)) {
@@ -371,6 +404,7 @@
         runChanges.clear();
         queued.clear();
         drainedDataCentres.clear();
+        latestDrainCommands.clear();
         epoch = 0;
     }
 
@@ -462,6 +496,17 @@
         drainedDataCentres.add(dataCentre);
     }
 
+    /**
+     * Restores the latest command that drained or undrained a data centre.
+     *
+     * @param dataCentre the data centre
+     * @param index the index of the command in the log
+     * @since 0.3
+     */
+    public void restoreLatestDrainCommand(DataCentreId dataCentre, long index) {
+        latestDrainCommands.put(dataCentre, index);
+    }
+
     /**
      * Holds a task of a table that is being restored.
      *
--- a/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobTableTests.java
+++ b/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobTableTests.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import dev.waxwinghead.model.id.DataCentreId;
 import dev.waxwinghead.model.id.HostId;
 import dev.waxwinghead.model.id.JobId;
 import java.util.List;
@@ -53,6 +54,56 @@
         }
     }
 
+    /** Guards against a late order that undoes a newer one which was answered. */
+    @Nested
+    class OrdersForADataCentre {
+        private static final DataCentreId A = DataCentreId.of("dc-a");
+        private static final DataCentreId B = DataCentreId.of("dc-b");
+
+        private JobCommand drain(DataCentreId dataCentre, long latestKnown) {
+            return new JobCommand.Drain(dataCentre, latestKnown);
+        }
+
+        private JobCommand undrain(DataCentreId dataCentre, long latestKnown) {
+            return new JobCommand.Undrain(dataCentre, latestKnown);
+        }
+
+        @Test
+        void haveNoEffectAfterOrdersThatTheirSenderDidNotKnow() {
+            assertThat(apply(drain(A, 0))).isEqualTo(JobOutcome.APPLIED);
+            assertThat(apply(undrain(A, table.latestDrainCommand(A)))).isEqualTo(JobOutcome.APPLIED);
+            long latest = table.latestDrainCommand(A);
+            assertThat(apply(drain(A, 0))).isEqualTo(JobOutcome.SUPERSEDED);
+            assertThat(apply(undrain(A, 0))).isEqualTo(JobOutcome.SUPERSEDED);
+            assertThat(table.drainedDataCentres()).isEmpty();
+            assertThat(table.latestDrainCommand(A)).isEqualTo(latest);
+            assertThat(apply(drain(A, latest))).isEqualTo(JobOutcome.APPLIED);
+        }
+
+        @Test
+        void haveNoEffectAfterOrdersThatChangedNothing() {
+            assertThat(apply(undrain(A, 0))).isEqualTo(JobOutcome.REPEATED);
+            assertThat(apply(drain(A, 0))).isEqualTo(JobOutcome.SUPERSEDED);
+            assertThat(table.drainedDataCentres()).isEmpty();
+        }
+
+        @Test
+        void doNotDependOnOrdersForOtherDataCentres() {
+            assertThat(apply(drain(A, 0))).isEqualTo(JobOutcome.APPLIED);
+            assertThat(apply(drain(B, 0))).isEqualTo(JobOutcome.APPLIED);
+            assertThat(table.drainedDataCentres()).containsExactly(A, B);
+        }
+
+        /** Hosts of earlier versions propose orders that apply in any case. */
+        @Test
+        void ofEarlierVersionsSupersedeOthers() {
+            assertThat(apply(drain(A, 0))).isEqualTo(JobOutcome.APPLIED);
+            long latest = table.latestDrainCommand(A);
+            assertThat(apply(new JobCommand.Undrain(A))).isEqualTo(JobOutcome.APPLIED);
+            assertThat(apply(drain(A, latest))).isEqualTo(JobOutcome.SUPERSEDED);
+        }
+    }
+
     @Nested
     class Accepting {
         @Test
