Count pauses shorter than the threshold in the earliest arrival of a request

A request that is read just after a short pause was taken to have arrived at that moment. The beat before the latest one bounds its arrival: the process ran then and would have read it.

--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/part/PauseDetector.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/part/PauseDetector.java
@@ -10,7 +10,7 @@
  * time. What arrived in the meantime is read afterwards as if it had just been sent.
  */
 public final class PauseDetector implements AutoCloseable {
-    private static final long BEAT_MILLIS = 100;
+    static final long BEAT_MILLIS = 100;
 
     /** The time without a beat from which the process counts as paused; half of the time for which clients wait. */
     static final long PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
@@ -22,6 +22,7 @@
     private final PeriodicTask beats;
 
     private long latestBeatNanos;
+    private long previousBeatNanos;
     private boolean paused;
     private long pauseStartNanos;
     private long pauseEndNanos;
@@ -29,6 +30,7 @@
     private PauseDetector(Ticker ticker, ScheduledExecutorService timer) {
         this.ticker = ticker;
         this.latestBeatNanos = ticker.nanos();
+        this.previousBeatNanos = latestBeatNanos;
         this.beats = PeriodicTask.start(timer, BEAT_MILLIS, "pause-detector", this::beat);
     }
 
@@ -46,12 +48,13 @@
     /**
      * Returns the earliest time at which something can have arrived that this process begins to read now.
      *
-     * @return the current time, or the start of a pause that lasts or has ended recently, in nanoseconds of the ticker
+     * @return the start of a pause that lasts or has ended recently; otherwise the beat before the latest one, since a
+     *     shorter pause may lie between the two; in nanoseconds of the ticker
      */
     public synchronized long earliestArrivalNanos() {
         long now = ticker.nanos();
         recordPause(now);
-        return recentlyPaused(now) ? pauseStartNanos : now;
+        return recentlyPaused(now) ? pauseStartNanos : previousBeatNanos;
     }
 
     private synchronized void beat() {
@@ -61,6 +64,7 @@
                     .with("millis", TimeUnit.NANOSECONDS.toMillis(now - latestBeatNanos))
                     .write();
         }
+        previousBeatNanos = latestBeatNanos;
         latestBeatNanos = now;
     }
 
