End the trial of a task on an unproven worker once it has run well for two seconds

Cause: a worker without a success since its last failure holds at most five tasks, and a task counted until it ended. So five long tasks on each worker kept all other jobs from it, also on a new cluster and after a failure. Ruled out: lack of capacity and the order of jobs; job-waiting names workers_restricted for all of them. Fix: a trial ends once the task has been listed for 2 s and progresses; the task counts again if it fails, and the worker stays unproven. A job without a running task for 2 s gets one task beyond the limit while almost half of the capacity is idle, except on quarantined workers and where the job has failed. Why it works: the limit bounds the tasks of which nothing is known yet, so it holds for seconds and not for the length of the tasks, and no job depends on the trials of another for its first run. A worker that fails everything gets five tasks in two seconds until its first failures are seen, and then as few as before.

--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/health/WorkerHealth.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/health/WorkerHealth.java
@@ -11,19 +11,23 @@
 /**
  * Tracks the health of workers by the tasks that fail or succeed on them.
  *
- * <p>A worker is unproven until a task has succeeded there since its last failure, and is given only a few tasks
- * meanwhile. A worker is quarantined once jobs fail there that do not fail elsewhere; after the quarantine the worker
- * is on probation and takes one task at a time. A failure counts against the job alone if the job fails on several
- * workers and succeeds on none, and against the task alone if the task has failed on several workers since it last
- * succeeded, whatever the other tasks of its job do. Not thread-safe.
+ * <p>A worker is unproven until a task has succeeded there since its last failure, and is given only a few tasks on
+ * trial meanwhile. A trial ends when the task ends, or once it has been running well for a while, so that long tasks do
+ * not keep the rest of the worker from others. A worker is quarantined once jobs fail there that do not fail elsewhere;
+ * after the quarantine the worker is on probation and takes one task at a time. A failure counts against the job alone
+ * if the job fails on several workers and succeeds on none, and against the task alone if the task has failed on
+ * several workers since it last succeeded, whatever the other tasks of its job do. Not thread-safe.
  *
  * @param <J> the type that identifies a job
  * @param <T> the type that identifies a task
  * @since 0.1
  */
 public final class WorkerHealth<J, T> {
-    /** The maximum number of concurrent tasks on an unproven worker. */
-    public static final int MAX_UNPROVEN_TASKS = 5;
+    /** The maximum number of concurrent trials on an unproven worker, with the trials that failed there. */
+    public static final int MAX_TRIALS = 5;
+
+    /** The time for which a task runs well before its trial ends. */
+    public static final long TRIAL_NANOS = TimeUnit.SECONDS.toNanos(2);
 
     private static final int MIN_FAILURES_OF_SEVERAL_JOBS = 3;
     private static final int MIN_FAILURES_OF_ONE_JOB = 4;
@@ -74,11 +78,29 @@
      * Records that a task was assigned to a worker.
      *
      * @param worker the worker
+     * @param task the task
      */
-    public void started(WorkerId worker) {
+    public void started(WorkerId worker, T task) {
         WorkerState<J, T> state = stateOf(worker);
         if (!state.proven) {
             state.unprovenTasks++;
+            state.trials.add(task);
+        }
+    }
+
+    /**
+     * Records that a task has been running on a worker for {@link #TRIAL_NANOS} and makes progress. This ends its trial
+     * but proves nothing, since the task may yet fail.
+     *
+     * @param worker the worker
+     * @param task the task
+     * @since 0.3
+     */
+    public void runsWell(WorkerId worker, T task) {
+        WorkerState<J, T> state = workers.get(worker);
+        if (state != null && !state.quarantined && state.trials.remove(task)) {
+            state.pastTrials.add(task);
+            state.unprovenTasks = Math.max(0, state.unprovenTasks - 1);
         }
     }
 
@@ -86,18 +108,22 @@
      * Records that a task assigned to a worker ended in a way that says nothing about the worker's health.
      *
      * @param worker the worker
+     * @param task the task
      */
-    public void endedInconclusively(WorkerId worker) {
+    public void endedInconclusively(WorkerId worker, T task) {
         WorkerState<J, T> state = stateOf(worker);
-        state.unprovenTasks = Math.max(0, state.unprovenTasks - 1);
+        state.trials.remove(task);
+        if (!state.pastTrials.remove(task)) {
+            state.unprovenTasks = Math.max(0, state.unprovenTasks - 1);
+        }
     }
 
     /**
-     * Resets the counts of tasks assigned to unproven workers. Another scheduler may have acted in the meantime, so it
-     * is unknown which tasks are still assigned to which worker. Recorded successes and failures are kept.
+     * Ends all trials. Another scheduler may have acted in the meantime, so it is unknown which tasks are still
+     * assigned to which worker. Recorded successes and failures are kept.
      */
     public void resetStarted() {
-        workers.values().forEach(state -> state.unprovenTasks = 0);
+        workers.values().forEach(WorkerState::endTrials);
     }
 
     /**
@@ -110,7 +136,7 @@
     public void succeeded(WorkerId worker, J job, T task) {
         WorkerState<J, T> state = stateOf(worker);
         state.proven = true;
-        state.unprovenTasks = 0;
+        state.endTrials();
         state.failures.clear();
         state.quarantines = 0;
         state.quarantined = false;
@@ -136,6 +162,11 @@
         record.succeededOn.remove(worker);
         tasks.computeIfAbsent(task, key -> new TaskFailures<>(job)).failedOn.add(worker);
         WorkerState<J, T> state = stateOf(worker);
+        state.trials.remove(task);
+        if (state.pastTrials.remove(task)) {
+            // A failed task stays counted, like one that fails on trial.
+            state.unprovenTasks++;
+        }
         if (state.quarantined && now - state.quarantinedUntilNanos < 0) {
             // Assigned before the quarantine, so it is no failed trial.
             return;
@@ -168,7 +199,7 @@
      * @param worker the worker
      * @param job the task's job or service
      * @param now the current time, in nanoseconds
-     * @return false while the worker is quarantined, or has the maximum number of tasks for an unproven worker
+     * @return false while the worker is quarantined, or has the maximum number of trials for an unproven worker
      */
     public boolean accepts(WorkerId worker, J job, long now) {
         if (acceptsEveryJob(worker)) {
@@ -179,7 +210,7 @@
             return now - state.quarantinedUntilNanos >= 0 && state.unprovenTasks == 0;
         }
         boolean otherJob =
-                state.unprovenTasks < MAX_UNPROVEN_TASKS && !state.failedJobs().contains(job);
+                state.unprovenTasks < MAX_TRIALS && !state.failedJobs().contains(job);
         boolean trialDue = !state.failures.isEmpty() && now - state.lastFailureNanos >= TRIAL_INTERVAL_NANOS;
         return otherJob || trialDue;
     }
@@ -194,7 +225,20 @@
      */
     public boolean acceptsEveryJob(WorkerId worker) {
         WorkerState<J, T> state = workers.get(worker);
-        return state == null || state.proven || (!state.quarantined && state.unprovenTasks < MAX_UNPROVEN_TASKS - 1);
+        return state == null || state.proven || (!state.quarantined && state.unprovenTasks < MAX_TRIALS - 1);
+    }
+
+    /**
+     * Returns whether a worker may be assigned a task of a job that would otherwise run nowhere, beyond the limit of
+     * {@link #accepts}.
+     *
+     * @param worker the worker
+     * @param job the task's job or service
+     * @return false while the worker is quarantined or on probation, or if the job has failed there
+     * @since 0.3
+     */
+    public boolean acceptsStarved(WorkerId worker, J job) {
+        return !quarantined(worker) && !failedOn(job).contains(worker);
     }
 
     /**
@@ -295,7 +339,7 @@
         state.quarantined = true;
         state.quarantinedUntilNanos = now + nanos;
         state.failures.clear();
-        state.unprovenTasks = 0;
+        state.endTrials();
         control.decided(worker, evidence, TimeUnit.NANOSECONDS.toMillis(nanos));
     }
 
@@ -316,14 +360,27 @@
     /** Holds the failures of a worker since a task last succeeded there, and its quarantine. */
     private static final class WorkerState<J, T> {
         private final Map<T, Failures<J>> failures = new HashMap<>();
+        /** The tasks that are running on trial. */
+        private final Set<T> trials = new HashSet<>();
+        /** The running tasks whose trial has ended. */
+        private final Set<T> pastTrials = new HashSet<>();
+
         private boolean proven;
+        /** The number of trials, with those that failed. */
         private int unprovenTasks;
+
         private long lastFailureNanos;
         private int quarantines;
         private boolean quarantined;
         private long quarantinedUntilNanos;
         private QuarantineControl.Evidence refusedEvidence;
 
+        private void endTrials() {
+            trials.clear();
+            pastTrials.clear();
+            unprovenTasks = 0;
+        }
+
         private Set<J> failedJobs() {
             Set<J> failed = new HashSet<>();
             failures.values().forEach(task -> failed.add(task.job));
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/ReportHandler.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/ReportHandler.java
@@ -1,10 +1,10 @@
 package dev.waxwinghead.scheduling.job;
 
 import dev.waxwinghead.model.id.WorkerId;
+import dev.waxwinghead.scheduling.health.WorkerHealth;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -53,7 +53,7 @@
             entry.endInheritedAnswers();
         }
         recordBegunJobs(entry);
-        recordReadiness(entry);
+        recordHealth(entry, now);
         recordProgress(entry, now);
         List<InterferenceControl.ResidentTask> residents = state.residents(entry);
         state.interference().learn(entry, residents, now);
@@ -99,16 +99,22 @@
         }
     }
 
-    private void recordReadiness(WorkerEntry entry) {
+    /** Records what the runs on a worker that is not proven show about it. */
+    private void recordHealth(WorkerEntry entry, long now) {
         WorkerId worker = entry.id();
-        for (Map.Entry<RunKey, RunObservation> observed : entry.observations().entrySet()) {
-            TaskKey task = observed.getKey().task();
-            if (observed.getValue().percent() >= 100 && state.health().restricted(worker)) {
-                state.step(task)
-                        .filter(JobStep::lasting)
-                        .ifPresent(step -> state.health().succeeded(worker, task.job(), task));
-            }
+        if (!state.health().restricted(worker)) {
+            return;
         }
+        entry.observations()
+                .forEach((run, observed) -> state.step(run.task()).ifPresent(step -> {
+                    TaskKey task = run.task();
+                    if (step.lasting() && observed.percent() >= 100) {
+                        state.health().succeeded(worker, task.job(), task);
+                    } else if (entry.hasListed(run, now - WorkerHealth.TRIAL_NANOS)
+                            && StallDetector.progresses(step, observed, now)) {
+                        state.health().runsWell(worker, task);
+                    }
+                }));
     }
 
     private void recordProgress(WorkerEntry entry, long now) {
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/SchedulerState.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/SchedulerState.java
@@ -34,6 +34,7 @@
     private final WaitLog waits;
     private final SlowWorkerDetector slowWorkers;
     private final RestartPauses restartPauses;
+    private final StarvedJobs starvedJobs = new StarvedJobs();
     private final Set<RunKey> inheritedRuns = new HashSet<>();
     /** The jobs that have begun by the reports, and may not have for the table. */
     private final Set<JobId> begunJobs = new LinkedHashSet<>();
@@ -76,6 +77,10 @@
         return restartPauses;
     }
 
+    StarvedJobs starvedJobs() {
+        return starvedJobs;
+    }
+
     WaitLog waits() {
         return waits;
     }
@@ -101,6 +106,7 @@
         inheritedRuns.clear();
         begunJobs.clear();
         startsWithoutEnd.clear();
+        starvedJobs.clear();
         for (WorkerIncarnation worker : table.busyWorkers()) {
             inheritedRuns.addAll(table.runsOn(worker));
         }
@@ -118,7 +124,7 @@
     /** Counts a planned start against its worker, as long as the worker is unproven. */
     void recordStart(RunKey run, WorkerIncarnation worker) {
         startsWithoutEnd.put(run, worker);
-        health.started(worker.worker());
+        health.started(worker.worker(), run.task());
     }
 
     /** Records that the planned end of a run is counted for its worker. */
@@ -134,7 +140,8 @@
         startsWithoutEnd.entrySet().removeIf(start -> {
             boolean live = table.isLive(start.getValue(), start.getKey());
             if (!live) {
-                health.endedInconclusively(start.getValue().worker());
+                health.endedInconclusively(
+                        start.getValue().worker(), start.getKey().task());
             }
             return !live;
         });
@@ -260,6 +267,7 @@
         health.forget(job);
         interference.forget(job);
         waits.forget(job);
+        starvedJobs.remove(job);
         slowWorkers.forget(job);
         restartPauses.forget(job);
         avoidedWorkers.keySet().removeIf(task -> task.job().equals(job));
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/StallDetector.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/StallDetector.java
@@ -2,7 +2,7 @@
 
 import java.util.concurrent.TimeUnit;
 
-/** Detects runs that make no progress although nothing is known to prevent it. */
+/** Tells runs that make progress from those that make none although nothing is known to prevent it. */
 final class StallDetector {
     /** The minimum time without progress that counts as a stall; longer than the start-up of a task. */
     private static final long MIN_STALL_NANOS = TimeUnit.MILLISECONDS.toNanos(2000);
@@ -10,6 +10,9 @@
     /** The multiple of the estimated time for one percent of progress after which a run counts as stalled. */
     private static final int STALL_FACTOR = 40;
 
+    /** The multiple of the estimated time for one percent of progress within which a sound run progresses. */
+    private static final int PROGRESS_FACTOR = 3;
+
     private StallDetector() {}
 
     static boolean stalled(JobStep step, RunObservation observed, long now) {
@@ -17,8 +20,16 @@
         if (ready) {
             return false;
         }
-        long perPercent = TimeUnit.MILLISECONDS.toNanos(step.estimateMillis()) / 100;
-        long bound = Math.max(MIN_STALL_NANOS, STALL_FACTOR * perPercent);
+        long bound = Math.max(MIN_STALL_NANOS, STALL_FACTOR * perPercentNanos(step));
         return now - observed.percentChangedNanos() > bound;
     }
+
+    /** Returns whether a run has progressed as recently as its estimate lets expect. */
+    static boolean progresses(JobStep step, RunObservation observed, long now) {
+        return now - observed.percentChangedNanos() <= PROGRESS_FACTOR * perPercentNanos(step);
+    }
+
+    private static long perPercentNanos(JobStep step) {
+        return TimeUnit.MILLISECONDS.toNanos(step.estimateMillis()) / 100;
+    }
 }
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/StartPlan.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/StartPlan.java
@@ -1,5 +1,6 @@
 package dev.waxwinghead.scheduling.job;
 
+import dev.waxwinghead.model.id.ServiceName;
 import dev.waxwinghead.model.id.WorkerId;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -112,13 +113,23 @@
         return placer.reserve(job.terms().service(), job.id(), step.step(), perWorker);
     }
 
-    /** Starts a single best-effort task of a job without live runs, although the serving tasks have no headroom. */
+    /**
+     * Starts a single task of a job without live runs: a best-effort task although the serving tasks have no headroom,
+     * and after a while any task although the workers that have room for it are not proven.
+     */
     private void startStarved(JobRecord job, StepRecord step, RunKey run, Map<WorkerId, Integer> perWorker) {
-        if (step.step().bestEffort() && job.liveRuns() == 0 && !started(job)) {
-            boolean suspect = job.task(run.task()).suspect();
-            placer.placeStarved(job.terms().service(), job.id(), step.step(), perWorker, suspect)
-                    .ifPresent(entry -> start(run, entry));
+        if (job.liveRuns() > 0 || started(job)) {
+            return;
+        }
+        boolean suspect = job.task(run.task()).suspect();
+        ServiceName service = job.terms().service();
+        Optional<WorkerEntry> worker = step.step().bestEffort()
+                ? placer.placeStarved(service, job.id(), step.step(), perWorker, suspect)
+                : Optional.empty();
+        if (worker.isEmpty() && state.starvedJobs().waits(job.id(), now)) {
+            worker = placer.placeStarvedOnTrial(service, job.id(), step.step(), perWorker, suspect);
         }
+        worker.ifPresent(entry -> start(run, entry));
     }
 
     /** Returns whether a task of a job was started in this round; the starts of one job are consecutive. */
@@ -173,6 +184,7 @@
     private void start(RunKey run, WorkerEntry worker) {
         transitions.add(new JobTransition.Started(run, worker.incarnation()));
         state.recordStart(run, worker.incarnation());
+        state.starvedJobs().remove(run.task().job());
         if (state.step(run.task()).filter(JobStep::lasting).isPresent()) {
             state.restartPauses().started(run.task(), now);
         }
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TaskPlacer.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TaskPlacer.java
@@ -208,15 +208,46 @@
                         && (!suspect || candidate.acceptsSuspectOf(job))
                         && meetsConstraints(candidate, job, step, perWorker),
                 headroom);
-        best.ifPresent(candidate -> {
-            allocate(candidate, step, perWorker);
-            if (suspect) {
-                candidate.addSuspectOf(job);
-            }
-        });
+        best.ifPresent(candidate -> allocateStarved(candidate, job, step, perWorker, suspect));
         return best.map(WorkerCapacity::entry);
     }
 
+    /**
+     * Chooses the worker for a task of a job that has no running task although much of the service's capacity is free,
+     * beyond the limit of tasks on trial.
+     *
+     * @param service the service whose workers run the task
+     * @param job the job
+     * @param step the step
+     * @param perWorker the number of tasks of the step on each worker; updated if a worker is chosen
+     * @param suspect whether a worker crashed under the task
+     * @return the worker; empty if the service has little free capacity, or no suitable worker that is not quarantined
+     */
+    Optional<WorkerEntry> placeStarvedOnTrial(
+            ServiceName service, JobId job, JobStep step, Map<WorkerId, Integer> perWorker, boolean suspect) {
+        ServiceWorkers workers = workers(service);
+        if (!workers.mostlyFree()) {
+            return Optional.empty();
+        }
+        Optional<WorkerCapacity> best = best(
+                workers.all(),
+                candidate -> suits(candidate, step, perWorker)
+                        && obstacle(candidate, step).isEmpty()
+                        && health.acceptsStarved(candidate.entry().id(), job)
+                        && (!suspect || candidate.acceptsSuspectOf(job)),
+                candidate -> score(candidate, step));
+        best.ifPresent(candidate -> allocateStarved(candidate, job, step, perWorker, suspect));
+        return best.map(WorkerCapacity::entry);
+    }
+
+    private void allocateStarved(
+            WorkerCapacity candidate, JobId job, JobStep step, Map<WorkerId, Integer> perWorker, boolean suspect) {
+        allocate(candidate, step, perWorker);
+        if (suspect) {
+            candidate.addSuspectOf(job);
+        }
+    }
+
     /**
      * Reserves capacity for a task that has to run again and fits on no worker yet, on the worker with the most free
      * capacity.
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TransitionPlanner.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TransitionPlanner.java
@@ -115,7 +115,7 @@
                     plan.add(new JobTransition.Ended(run, RunEnd.INTERRUPTED, ""));
                     state.events().neverStarted(run, entry.incarnation());
                     state.recordEnd(run);
-                    state.health().endedInconclusively(entry.id());
+                    state.health().endedInconclusively(entry.id(), run.task());
                 }
             }
         }
@@ -139,10 +139,10 @@
                 state.avoid(task, entry.id());
             }
             case REFUSED -> {
-                state.health().endedInconclusively(entry.id());
+                state.health().endedInconclusively(entry.id(), task);
                 entry.refused(now + REFUSAL_BACKOFF_NANOS);
             }
-            default -> state.health().endedInconclusively(entry.id());
+            default -> state.health().endedInconclusively(entry.id(), task);
         }
     }
 
@@ -195,7 +195,7 @@
                     recordCrash(run, incarnation);
                 }
                 state.recordEnd(run);
-                state.health().endedInconclusively(incarnation.worker());
+                state.health().endedInconclusively(incarnation.worker(), run.task());
             }
         }
     }
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/task/PlacementRound.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/task/PlacementRound.java
@@ -144,7 +144,7 @@
         outbox.add(new Transition.Start(task.id(), attempt, worker, incarnation, workload.resources()));
         commitments.put(task.id(), attempt, worker, workload, workload.resources(), now);
         quotas.hold(task.id(), owner.team(), workload.resources());
-        health.started(worker);
+        health.started(worker, task.id());
         index.setRestricted(worker, health.restricted(worker));
         queue.remove(task.id());
     }
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/task/PollHandler.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/task/PollHandler.java
@@ -10,12 +10,10 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 
 /** Compares the attempts that a worker reports with the task table, and reconciles both by commands and transitions. */
 final class PollHandler {
     private static final long STOP_GRACE_MILLIS = 2_000;
-    private static final long HEALTHY_RUN_NANOS = TimeUnit.SECONDS.toNanos(2);
 
     private final TaskTable table;
     private final Outbox outbox;
@@ -112,7 +110,7 @@
             }
             return;
         }
-        if (health.restricted(worker) && entry.observedRunNanos(task.id(), now) >= HEALTHY_RUN_NANOS) {
+        if (health.restricted(worker) && entry.observedRunNanos(task.id(), now) >= WorkerHealth.TRIAL_NANOS) {
             health.succeeded(worker, task.owner(), task.id());
         }
         pressureRelief.onReport(worker, reported, now, commands);
@@ -123,7 +121,7 @@
         switch (phase) {
             case COMPLETED -> health.succeeded(worker, task.owner(), task.id());
             case FAILED -> health.failed(worker, task.owner(), task.id(), now);
-            default -> health.endedInconclusively(worker);
+            default -> health.endedInconclusively(worker, task.id());
         }
     }
 
--- a/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/health/WorkerHealthTests.java
+++ b/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/health/WorkerHealthTests.java
@@ -131,6 +131,72 @@
         assertThat(refusal.decisions).containsExactly("w1 failures 3 of 3 tasks of 2 jobs: 0 ms");
     }
 
+    /** Guards against long tasks that keep a worker from others, and against workers that fail all they get. */
+    @Nested
+    class Trials {
+        private void start(String... tasks) {
+            for (String task : tasks) {
+                health.started(W1, task);
+            }
+        }
+
+        private boolean accepted() {
+            return health.accepts(W1, "z", 0);
+        }
+
+        @BeforeEach
+        void startAsManyAsAllowed() {
+            start("a1", "a2", "a3", "a4", "a5");
+            assertThat(accepted()).isFalse();
+        }
+
+        @Test
+        void endWithTasksThatRunWell() {
+            health.runsWell(W1, "a1");
+            health.runsWell(W1, "a1");
+            assertThat(accepted()).isTrue();
+            start("b1");
+            assertThat(accepted()).isFalse();
+            assertThat(health.restricted(W1)).isTrue();
+        }
+
+        @Test
+        void areCountedOnce() {
+            health.runsWell(W1, "a1");
+            start("b1");
+            health.endedInconclusively(W1, "a1");
+            assertThat(accepted()).isFalse();
+            health.endedInconclusively(W1, "b1");
+            assertThat(accepted()).isTrue();
+        }
+
+        @Test
+        void areCountedAgainIfTheTaskFailsLater() {
+            health.runsWell(W1, "a1");
+            assertThat(accepted()).isTrue();
+            health.failed(W1, "a", "a1", 0);
+            assertThat(accepted()).isFalse();
+        }
+
+        @Test
+        void onProbationLastUntilTheTaskEnds() {
+            failThreeTimes();
+            assertThat(health.accepts(W1, "c", QUARANTINE)).isTrue();
+            start("c1");
+            health.runsWell(W1, "c1");
+            assertThat(health.accepts(W1, "c", QUARANTINE)).isFalse();
+        }
+
+        @Test
+        void areExceededForStarvedJobsOnly() {
+            assertThat(health.acceptsStarved(W1, "z")).isTrue();
+            health.failed(W1, "a", "a1", 0);
+            assertThat(health.acceptsStarved(W1, "a")).isFalse();
+            failThreeTimes();
+            assertThat(health.acceptsStarved(W1, "z")).isFalse();
+        }
+    }
+
     private static final class Refusal implements QuarantineControl {
         private final List<String> decisions = new ArrayList<>();
 
--- a/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobSchedulerTests.java
+++ b/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobSchedulerTests.java
@@ -755,6 +755,137 @@
         }
     }
 
+    /** Guards against idle workers that are kept from waiting jobs since long tasks on them prove nothing. */
+    @Nested
+    class LongTasksOnUnprovenWorkers {
+        private static final int AT_FIRST = 5;
+
+        private void acceptLong() {
+            accept("long", JobFixtures.step(20, List.of(), false, false, 0, 100));
+        }
+
+        private void acceptSmall(String job) {
+            accept(job, JobFixtures.step(2, List.of(), false, false, 0, 100));
+        }
+
+        /** Lets the runs on a worker run for a while, with the given progress between its reports. */
+        private void run(WorkerIncarnation worker, int percentPerReport) {
+            for (int report = 1; report <= 12; report++) {
+                now += TimeUnit.MILLISECONDS.toNanos(200);
+                int percent = report * percentPerReport;
+                List<RunningTask> running = table.runsOn(worker).stream()
+                        .map(each -> new RunningTask(each, "", percent, 0))
+                        .toList();
+                Optional<WorkerInstructions> unused =
+                        scheduler.report(JobFixtures.report(worker, ++sequence, running, List.of()), now);
+                commit(plan());
+            }
+        }
+
+        private int runsOf(String job) {
+            return table.find(JobId.of(job)).orElseThrow().liveRuns();
+        }
+
+        @Test
+        void leaveRoomForOthersOnceTheyHaveRunForAWhile() {
+            acceptLong();
+            startAll(W1);
+            assertThat(runsOf("long")).isEqualTo(AT_FIRST);
+            run(W1, 1);
+            assertThat(runsOf("long")).isEqualTo(2 * AT_FIRST);
+        }
+
+        @Test
+        void leaveRoomForOthersAfterAChangeOfTheScheduler() {
+            accept("j1", JobFixtures.step(1, List.of()));
+            startAll(W1);
+            report(W1, ended(1, "j1", 0, 1, ReportedEnd.COMPLETED));
+            commit(plan());
+            scheduler = newScheduler();
+            acquire();
+            acceptLong();
+            startAll(W1);
+            assertThat(runsOf("long")).isEqualTo(AT_FIRST);
+            acceptSmall("small");
+            run(W1, 1);
+            assertThat(runsOf("long") + runsOf("small")).isEqualTo(2 * AT_FIRST);
+        }
+
+        @Test
+        void leaveRoomForOthersAfterAFailure() {
+            accept("j1", JobFixtures.step(1, List.of()));
+            startAll(W1);
+            report(W1, ended(1, "j1", 0, 1, ReportedEnd.FAILED));
+            table.apply(++index, new JobCommand.Cancel(JobId.of("j1")));
+            acceptLong();
+            commit(plan());
+            assertThat(runsOf("long")).isEqualTo(AT_FIRST - 1);
+            run(W1, 1);
+            assertThat(runsOf("long")).isEqualTo(2 * (AT_FIRST - 1));
+        }
+
+        @Test
+        void leaveNoRoomForOthersWithoutProgress() {
+            acceptLong();
+            startAll(W1);
+            run(W1, 0);
+            assertThat(runsOf("long")).isEqualTo(AT_FIRST);
+        }
+
+        /** Guards against a worker that gets ever more tasks since they run for a while before they fail. */
+        @Test
+        void leaveNoRoomForOthersOnceTheyFail() {
+            acceptLong();
+            startAll(W1);
+            List<RunKey> first = List.copyOf(table.runsOn(W1));
+            run(W1, 1);
+            assertThat(table.runsOn(W1)).hasSize(2 * AT_FIRST);
+            List<EndedRun> ends = new ArrayList<>();
+            for (RunKey failed : first) {
+                ends.add(new EndedRun(ends.size() + 1, failed, ReportedEnd.FAILED, ""));
+            }
+            Optional<WorkerInstructions> unused =
+                    scheduler.report(JobFixtures.report(W1, ++sequence, List.of(), ends), now);
+            commit(plan());
+            commit(plan());
+            assertThat(table.runsOn(W1)).hasSize(AT_FIRST);
+            run(W1, 0);
+            assertThat(table.runsOn(W1)).hasSize(AT_FIRST);
+        }
+
+        @Test
+        void leaveRoomForATaskOfEachJobThatWouldRunNowhere() {
+            acceptLong();
+            startAll(W1);
+            acceptSmall("small");
+            acceptSmall("other");
+            commit(plan());
+            assertThat(runsOf("small") + runsOf("other")).isEqualTo(0);
+            run(W1, 0);
+            assertThat(runsOf("small")).isEqualTo(1);
+            assertThat(runsOf("other")).isEqualTo(1);
+            assertThat(runsOf("long")).isEqualTo(AT_FIRST);
+        }
+
+        /** Guards against a worker on which everything fails and which gets the jobs that run nowhere else. */
+        @Test
+        void leaveNoRoomOnAWorkerThatIsQuarantined() {
+            for (String job : List.of("f1", "f2", "f3")) {
+                accept(job, JobFixtures.step(1, List.of(), false, false, 0, 100));
+            }
+            startAll(W1);
+            int number = 0;
+            for (RunKey failed : List.copyOf(table.runsOn(W1))) {
+                report(W1, new EndedRun(++number, failed, ReportedEnd.FAILED, ""));
+                commit(plan());
+            }
+            acceptSmall("small");
+            assertThat(quarantines).isNotEmpty();
+            run(W1, 0);
+            assertThat(runsOf("small")).isEqualTo(0);
+        }
+    }
+
     /** Guards against lasting tasks that are never started again, and jobs that end, once a run has completed. */
     @Nested
     class LastingTasksThatComplete {
