Bound the wait for open requests under constant load

A listener that is asked all the time has seldom a moment without a request, so a core host could have stopped seconds later than before.

--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/http/HttpListener.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/http/HttpListener.java
@@ -103,15 +103,16 @@
     }
 
     /**
-     * Waits until every request that has been read has a complete response. To be called before the listener is closed,
-     * which ends all connections. New requests are still served meanwhile.
+     * Waits until no request that has been read waits for its response. To be called before the listener is closed,
+     * which ends all connections. New requests are still served meanwhile; under constant load, those of the last 100
+     * ms may have no complete response yet.
      *
      * @param deadline the time at which to give up waiting
      * @param ticker the clock of the deadline
-     * @return false if a request still has no complete response at the deadline, or the thread was interrupted
+     * @return false if the deadline passed or the thread was interrupted before
      */
     public boolean awaitResponses(Deadline deadline, Ticker ticker) {
-        int open = exchanges.awaitNone(deadline, ticker);
+        int open = exchanges.awaitNoneWaiting(deadline, ticker);
         if (open > 0) {
             Event.of("responses-not-complete")
                     .with("address", address())
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/http/OpenExchanges.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/http/OpenExchanges.java
@@ -3,30 +3,41 @@
 import com.sun.net.httpserver.HttpExchange;
 import dev.waxwinghead.model.time.Deadline;
 import dev.waxwinghead.model.time.Ticker;
+import java.util.LinkedHashSet;
+import java.util.Set;
 import java.util.concurrent.Executor;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 
-/** Counts the requests of a listener that are being read or have no complete response yet. */
+/** Holds the requests of a listener that are being read or have no complete response yet. */
 final class OpenExchanges {
+    /** The age from which a request counts as waiting; others are answered at once. */
+    private static final long WAITING_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
+    /** How long to wait for a moment without any request, if none of them waits. */
+    private static final long SETTLE_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
+
+    private static final long CHECK_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
+
     private final LongSupplier earliestArrival;
 
     /** The earliest arrival of the request that the current thread reads or handles. */
     private final ThreadLocal<Long> currentArrival = new ThreadLocal<>();
 
-    private int open;
+    /** The open requests, in the order in which they were begun. Guarded by this object's monitor. */
+    private final Set<OpenRequest> open = new LinkedHashSet<>();
 
     /** @param earliestArrival returns the earliest time at which a request can have arrived that is read now */
     OpenExchanges(LongSupplier earliestArrival) {
         this.earliestArrival = earliestArrival;
     }
 
-    /** Returns an executor that counts the server's actions, each of which reads a request, from submission to end. */
+    /** Returns an executor that holds the server's actions, each of which reads a request, from submission to end. */
     Executor counting(Executor executor) {
         return action -> {
             long arrival = earliestArrival.getAsLong();
-            begin();
+            OpenRequest request = begin();
             try {
                 executor.execute(() -> {
                     currentArrival.set(arrival);
@@ -34,47 +45,67 @@
                         action.run();
                     } finally {
                         currentArrival.remove();
-                        end();
+                        end(request);
                     }
                 });
             } catch (RejectedExecutionException e) {
-                end();
+                end(request);
                 throw e;
             }
         };
     }
 
-    /** Returns an exchange that counts as open until its response is complete or it is closed. */
+    /** Returns an exchange that is open until its response is complete or it is closed. */
     HttpExchange track(HttpExchange exchange) {
-        begin();
-        return new TrackedExchange(exchange, currentArrival.get(), this::end);
+        OpenRequest request = begin();
+        return new TrackedExchange(exchange, currentArrival.get(), () -> end(request));
     }
 
-    private synchronized void begin() {
-        open++;
+    private synchronized OpenRequest begin() {
+        OpenRequest request = new OpenRequest(Ticker.system().nanos());
+        open.add(request);
+        return request;
     }
 
-    private synchronized void end() {
-        open--;
-        if (open == 0) {
+    private synchronized void end(OpenRequest request) {
+        open.remove(request);
+        if (open.isEmpty()) {
             notifyAll();
         }
     }
 
     /**
-     * Waits until no request is open.
+     * Waits until no request waits for its response. Under constant load, some requests may have just been begun.
      *
-     * @return the number of open requests when the wait ended: 0, unless the deadline passed or the thread was
-     *     interrupted
+     * @return 0, or the number of open requests if the deadline passed or the thread was interrupted
      */
-    synchronized int awaitNone(Deadline deadline, Ticker ticker) {
+    synchronized int awaitNoneWaiting(Deadline deadline, Ticker ticker) {
+        long startNanos = ticker.nanos();
         try {
-            while (open > 0 && !deadline.passed(ticker)) {
-                TimeUnit.NANOSECONDS.timedWait(this, deadline.remaining(ticker).toNanos());
+            while (!open.isEmpty() && !deadline.passed(ticker)) {
+                if (ticker.nanos() - startNanos >= SETTLE_NANOS && !waits()) {
+                    return 0;
+                }
+                long nanos = Math.min(CHECK_NANOS, deadline.remaining(ticker).toNanos());
+                TimeUnit.NANOSECONDS.timedWait(this, nanos);
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
-        return open;
+        return open.size();
+    }
+
+    private boolean waits() {
+        long ageNanos = Ticker.system().nanos() - open.iterator().next().beganNanos;
+        return ageNanos >= WAITING_NANOS;
+    }
+
+    /** A request that is told from others by its identity. */
+    private static final class OpenRequest {
+        private final long beganNanos;
+
+        OpenRequest(long beganNanos) {
+            this.beganNanos = beganNanos;
+        }
     }
 }
