Log workers that are silent, and the ends of runs whose worker is given up

The logs could not distinguish the hypotheses on the lasting tasks that stay down: a run that ended with its worker wrote no line, and nothing told that the scheduler waited for a worker. worker-silent names the worker, its live runs, whether it has reported to this scheduler and when it is given up; task-end now covers these runs as well. No decision changes.

--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/EngineEvents.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/EngineEvents.java
@@ -4,6 +4,7 @@
 import dev.waxwinghead.model.id.WorkerId;
 import dev.waxwinghead.scheduling.health.QuarantineControl;
 import dev.waxwinghead.scheduling.job.JobRecord;
+import dev.waxwinghead.scheduling.job.RunEnd;
 import dev.waxwinghead.scheduling.job.RunKey;
 import dev.waxwinghead.scheduling.job.SchedulerListener;
 import dev.waxwinghead.scheduling.job.TaskKey;
@@ -29,6 +30,7 @@
     private final Counter stops;
     private final Counter lateReports;
     private final Counter rejectedReports;
+    private final Counter silentWorkers;
     private final Counter unlistedRuns;
     private final Counter crashes;
     private final Counter givenUp;
@@ -40,6 +42,7 @@
         this.stops = meters.counter("waxwinghead.job.task.stops");
         this.lateReports = meters.counter("waxwinghead.job.reports.late");
         this.rejectedReports = meters.counter("waxwinghead.job.reports.rejected");
+        this.silentWorkers = meters.counter("waxwinghead.job.worker.silences");
         this.unlistedRuns = meters.counter("waxwinghead.job.runs.unlisted");
         this.crashes = meters.counter("waxwinghead.job.worker.crashes");
         this.givenUp = meters.counter("waxwinghead.job.given.up");
@@ -74,6 +77,18 @@
                 .write();
     }
 
+    @Override
+    public void workerSilent(WorkerIncarnation incarnation, int runs, boolean reported, long millis) {
+        silentWorkers.increment();
+        Event.of("worker-silent")
+                .with("worker", incarnation.worker())
+                .with("life", incarnation.startedEpochMillis())
+                .with("runs", runs)
+                .with("reported", reported)
+                .with("givenUpInMillis", millis)
+                .write();
+    }
+
     @Override
     public void reportIgnored(WorkerReport report) {
         lateReports.increment();
@@ -166,6 +181,19 @@
                 .write();
     }
 
+    @Override
+    public void endedWithWorker(RunKey run, WorkerIncarnation worker, RunEnd end) {
+        String how = end.name().toLowerCase(Locale.ROOT);
+        meters.counter("waxwinghead.job.task.ends", "how", how).increment();
+        Event.of("task-end")
+                .with("job", run.task().job())
+                .with("task", run.task())
+                .with("attempt", run.attempt())
+                .with("worker", worker.worker())
+                .with("how", how)
+                .write();
+    }
+
     @Override
     public void workerCrashed(RunKey run, WorkerIncarnation worker, int total) {
         crashes.increment();
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/SchedulerListener.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/SchedulerListener.java
@@ -31,6 +31,18 @@
      */
     void workerGone(WorkerIncarnation incarnation, String reason);
 
+    /**
+     * Called once for a worker with live runs that has not reported for a while, or not yet to a new scheduler. Its
+     * runs keep their capacity until it reports or is given up.
+     *
+     * @param incarnation the worker's incarnation
+     * @param runs the number of live runs on the worker
+     * @param reported whether the worker has reported to this scheduler
+     * @param millis how long until the worker is given up, in milliseconds
+     * @since 0.3
+     */
+    void workerSilent(WorkerIncarnation incarnation, int runs, boolean reported, long millis);
+
     /**
      * Called when a report is ignored, since it is late or of an earlier incarnation.
      *
@@ -90,6 +102,16 @@
      */
     void ended(WorkerReport.EndedRun end, WorkerIncarnation worker);
 
+    /**
+     * Called when the end of a run is about to be committed whose worker is given up.
+     *
+     * @param run the run
+     * @param worker the worker that ran it
+     * @param end the end
+     * @since 0.3
+     */
+    void endedWithWorker(RunKey run, WorkerIncarnation worker, RunEnd end);
+
     /**
      * Called when the crash of a worker is about to be counted against the task of a run.
      *
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/SchedulerState.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/SchedulerState.java
@@ -116,6 +116,11 @@
         return takenOverNanos;
     }
 
+    /** Returns when the leases that earlier schedulers may have granted have certainly expired. */
+    long inheritedLeaseEndNanos() {
+        return takenOverNanos + times.inheritedLeaseBoundNanos();
+    }
+
     /** Returns whether a run was started by an earlier scheduler. */
     boolean inherited(RunKey run) {
         return inheritedRuns.contains(run);
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TransitionPlanner.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TransitionPlanner.java
@@ -21,6 +21,9 @@
     /** Workers whose last report is older get no new tasks; workers report several times a second. */
     private static final long MAX_REPORT_AGE_NANOS = TimeUnit.MILLISECONDS.toNanos(1500);
 
+    /** Covers several reports of a worker, and its search for a new scheduler. */
+    private static final long SILENCE_NANOS = TimeUnit.SECONDS.toNanos(2);
+
     /**
      * How long the begin of a job waits for other transitions to be committed with; what callers read may be 2 s old.
      */
@@ -31,6 +34,7 @@
     private long begunPlannedNanos;
     private final Map<JobId, Long> endedNanos = new HashMap<>();
     private final Set<JobId> givenUp = new HashSet<>();
+    private final Set<WorkerIncarnation> reportedSilences = new HashSet<>();
 
     TransitionPlanner(SchedulerState state) {
         this.state = state;
@@ -39,6 +43,7 @@
 
     void takeOver(long now) {
         drainMoves.takeOver();
+        reportedSilences.clear();
         begunPlannedNanos = now;
         for (JobRecord job : state.table().all()) {
             if (job.state().ended()) {
@@ -53,6 +58,7 @@
         planEnds(plan, now);
         planEndsOfUnstarted(plan);
         planLosses(plan, now);
+        reportSilences(now);
         planStarts(plan, now, epochMillis);
         planRemovals(plan, now);
         planBegunJobs(plan, now);
@@ -171,8 +177,31 @@
         if (entry.isPresent()) {
             return entry.get().lost(now);
         }
-        return state.workers().superseded(incarnation)
-                || now - state.takenOverNanos() >= state.times().inheritedLeaseBoundNanos();
+        return state.workers().superseded(incarnation) || now - state.inheritedLeaseEndNanos() >= 0;
+    }
+
+    /** Reports the workers with live runs that have been silent for a while. */
+    private void reportSilences(long now) {
+        reportedSilences.removeIf(worker -> !state.table().busyWorkers().contains(worker) || !silent(worker, now));
+        for (WorkerIncarnation worker : state.table().busyWorkers()) {
+            if (silent(worker, now) && reportedSilences.add(worker)) {
+                Optional<WorkerEntry> entry = state.workers().find(worker);
+                long givenUpNanos = entry.map(WorkerEntry::leaseEndNanos).orElseGet(state::inheritedLeaseEndNanos);
+                state.events()
+                        .workerSilent(
+                                worker,
+                                state.table().runsOn(worker).size(),
+                                entry.isPresent(),
+                                TimeUnit.NANOSECONDS.toMillis(givenUpNanos - now));
+            }
+        }
+    }
+
+    private boolean silent(WorkerIncarnation worker, long now) {
+        return state.workers()
+                .find(worker)
+                .map(entry -> entry.silentFor(now, SILENCE_NANOS))
+                .orElseGet(() -> now - state.takenOverNanos() > SILENCE_NANOS);
     }
 
     private String lossReason(WorkerIncarnation incarnation, Optional<WorkerEntry> entry) {
@@ -191,6 +220,7 @@
             if (!ending && plan.size() < MAX_TRANSITIONS) {
                 RunEnd end = entry.map(known -> known.endOnLoss(run)).orElse(RunEnd.INTERRUPTED);
                 plan.add(endOnLoss(run, end, entry));
+                state.events().endedWithWorker(run, incarnation, end);
                 if (end == RunEnd.WORKER_CRASHED) {
                     recordCrash(run, incarnation);
                 }
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/WorkerEntry.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/WorkerEntry.java
@@ -195,6 +195,11 @@
         leaseEndNanos = Math.max(leaseEndNanos, untilNanos);
     }
 
+    /** Returns when the lease that this scheduler has granted has certainly expired. */
+    long leaseEndNanos() {
+        return leaseEndNanos;
+    }
+
     /**
      * Records that the worker has announced its exit. Its process may run on without an acknowledgement, so its runs
      * stay live until its lease has expired or another process has replaced it.
--- a/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobSchedulerTests.java
+++ b/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobSchedulerTests.java
@@ -1804,6 +1804,9 @@
             losses.add(reason);
         }
 
+        @Override
+        public void workerSilent(WorkerIncarnation incarnation, int runs, boolean reported, long millis) {}
+
         @Override
         public void reportIgnored(WorkerReport report) {}
 
@@ -1827,6 +1830,9 @@
         @Override
         public void ended(EndedRun end, WorkerIncarnation worker) {}
 
+        @Override
+        public void endedWithWorker(RunKey run, WorkerIncarnation worker, RunEnd end) {}
+
         @Override
         public void workerCrashed(RunKey run, WorkerIncarnation worker, int crashes) {}
 
--- a/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/SilentListener.java
+++ b/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/SilentListener.java
@@ -14,6 +14,9 @@
     @Override
     public void workerGone(WorkerIncarnation incarnation, String reason) {}
 
+    @Override
+    public void workerSilent(WorkerIncarnation incarnation, int runs, boolean reported, long millis) {}
+
     @Override
     public void reportIgnored(WorkerReport report) {}
 
@@ -35,6 +38,9 @@
     @Override
     public void ended(WorkerReport.EndedRun end, WorkerIncarnation worker) {}
 
+    @Override
+    public void endedWithWorker(RunKey run, WorkerIncarnation worker, RunEnd end) {}
+
     @Override
     public void workerCrashed(RunKey run, WorkerIncarnation worker, int crashes) {}
 
