--- a/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobSchedulerTests.java
+++ b/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobSchedulerTests.java
@@ -272,6 +272,59 @@
         }
     }
 
+    /**
+     * Guards against lasting tasks that stay down since each new scheduler waits anew for the leases of gone workers.
+     */
+    @Nested
+    class WorkersThatAreGoneWhenSchedulersChange {
+        @BeforeEach
+        void startALastingTask() {
+            accept("s1", JobFixtures.step(1, List.of(), true, false, 100));
+            startAll(W1);
+            report(W1, running("s1", 0, 1, 100));
+        }
+
+        @Test
+        void areGivenUpOneLeaseAfterASchedulerHasMissedThem() {
+            pass(100);
+            takeOver("h2");
+            pass(4000);
+            takeOver("h3");
+            pass(4000);
+            takeOver("h1");
+            pass(4600);
+            assertThat(table.runsOn(W1)).isEmpty();
+        }
+
+        @Test
+        void areGivenUpOneLeaseAfterTheirLastSchedulerHasMissedThem() {
+            pass(2500);
+            takeOver("h2");
+            pass(10_200);
+            assertThat(table.runsOn(W1)).isEmpty();
+        }
+
+        @Test
+        void keepTheirRunsUntilTheirLeasesHaveCertainlyExpired() {
+            pass(2500);
+            takeOver("h2");
+            pass(7900);
+            assertThat(table.runsOn(W1)).hasSize(1);
+        }
+
+        @Test
+        void leaveTheirTasksToOtherWorkers() {
+            pass(100);
+            takeOver("h2");
+            pass(4000);
+            takeOver("h3");
+            pass(8600);
+            report(W22);
+            pass(100);
+            assertThat(table.runsOn(W22)).containsExactly(JobFixtures.run("s1", 0, 0, 2));
+        }
+    }
+
     /** Guards against tasks that run twice since a worker without an acknowledgement of its exit runs on. */
     @Nested
     class WorkersThatAnnounceTheirExit {
@@ -1741,6 +1794,19 @@
         assertThat(table.runsOn(worker)).isEmpty();
     }
 
+    /** Lets time pass in which the scheduler plans as often as it does in practice. */
+    private void pass(long millis) {
+        for (long passed = 0; passed < millis; passed += 50) {
+            now += TimeUnit.MILLISECONDS.toNanos(50);
+            commit(plan());
+        }
+    }
+
+    private void takeOver(String host) {
+        table.apply(++index, new JobCommand.Acquire(HostId.of(host)));
+        scheduler.takeOver(now);
+    }
+
     private void accept(String id, JobStep... steps) {
         table.apply(++index, JobFixtures.accept(id, steps));
     }
