Keep the event file of simulated workers open if a writing thread is interrupted

Closing a worker interrupts its polling thread; a FileChannel that this thread writes to is closed by the interruption, for all writers. An output stream is not.

--- a/waxwinghead-testkit/src/main/java/dev/waxwinghead/testkit/worker/TaskEventFile.java
+++ b/waxwinghead-testkit/src/main/java/dev/waxwinghead/testkit/worker/TaskEventFile.java
@@ -2,12 +2,11 @@
 
 import dev.waxwinghead.model.error.ErrorKind;
 import dev.waxwinghead.model.error.WaxwingheadException;
+import java.io.FileOutputStream;
 import java.io.IOException;
-import java.nio.ByteBuffer;
-import java.nio.channels.FileChannel;
+import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
-import java.nio.file.StandardOpenOption;
 
 /**
  * Appends the events of tasks to a file that tests and scripts read.
@@ -17,10 +16,11 @@
  * be ordered. Several workers may append to one file. Thread-safe.
  */
 final class TaskEventFile implements AutoCloseable {
-    private final FileChannel channel;
+    /** Not a channel, which an interrupted thread would close for all others; null to discard events. */
+    private final OutputStream output;
 
-    private TaskEventFile(FileChannel channel) {
-        this.channel = channel;
+    private TaskEventFile(OutputStream output) {
+        this.output = output;
     }
 
     /** Opens the file for appending. Events are discarded if the path is null. */
@@ -29,8 +29,7 @@
             return new TaskEventFile(null);
         }
         try {
-            return new TaskEventFile(FileChannel.open(
-                    path, StandardOpenOption.CREATE, StandardOpenOption.WRITE, StandardOpenOption.APPEND));
+            return new TaskEventFile(new FileOutputStream(path.toFile(), true));
         } catch (IOException e) {
             throw WaxwingheadException.of(
                     ErrorKind.STORAGE, "could not open the event file " + path, "give a file in an existing folder", e);
@@ -38,7 +37,7 @@
     }
 
     synchronized void append(WorkerDescription worker, String event, String subject, int attempt, String detail) {
-        if (channel == null) {
+        if (output == null) {
             return;
         }
         String line = String.join(
@@ -52,10 +51,7 @@
                         detail == null ? "" : detail)
                 + "\n";
         try {
-            ByteBuffer bytes = ByteBuffer.wrap(line.getBytes(StandardCharsets.UTF_8));
-            while (bytes.hasRemaining()) {
-                channel.write(bytes);
-            }
+            output.write(line.getBytes(StandardCharsets.UTF_8));
         } catch (IOException e) {
             throw WaxwingheadException.of(
                     ErrorKind.STORAGE, "could not write to the event file", "free space on its disk", e);
@@ -64,8 +60,8 @@
 
     @Override
     public synchronized void close() throws IOException {
-        if (channel != null) {
-            channel.close();
+        if (output != null) {
+            output.close();
         }
     }
 }
