Give up a gone worker one lease after a scheduler has missed it

Callers saw lasting tasks without a run for up to 17 s, and the users LOST: the workers of the tasks had left shortly before the scheduler changed, without a committed end of their runs.

Cause: a worker that has not reported to a new scheduler may run its tasks under a lease of an earlier one, so its runs stay live for 11.5 s. Each scheduler counted them from its own take-over, so every further change of the scheduler started the wait anew. Class of fault: a deadline that is held in the memory of one host and estimated anew by its successor.

A worker with live runs that has not reported for 2 s is now recorded in the job table (Silent): its lease has not been extended since, and no scheduler extends it until the worker has reported and its return is committed (Returned). Each host notes by its own clock when it learns of a silence; the leases of the worker have expired one lease bound later, whichever host takes over when. A worker that returns gets an answer without a lease and reports again 100 ms later.

SilentWorkers holds that nothing is granted in between.

--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/EngineEvents.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/EngineEvents.java
@@ -89,6 +89,14 @@
                 .write();
     }
 
+    @Override
+    public void workerReturned(WorkerIncarnation incarnation) {
+        Event.of("worker-returned")
+                .with("worker", incarnation.worker())
+                .with("life", incarnation.startedEpochMillis())
+                .write();
+    }
+
     @Override
     public void reportIgnored(WorkerReport report) {
         lateReports.increment();
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobCodec.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobCodec.java
@@ -37,6 +37,8 @@
     private static final int ENDED = 2;
     private static final int FORGOTTEN = 3;
     private static final int BEGUN = 4;
+    private static final int SILENT = 5;
+    private static final int RETURNED = 6;
 
     private static final int CHECKPOINTS = 1;
     private static final int GANG = 2;
@@ -213,6 +215,12 @@
             packer.packInt(FORGOTTEN).packString(forgotten.job().value());
         } else if (transition instanceof JobTransition.Begun begun) {
             packer.packInt(BEGUN).packString(begun.job().value());
+        } else if (transition instanceof JobTransition.Silent silent) {
+            packer.packInt(SILENT);
+            packIncarnation(packer, silent.worker());
+        } else if (transition instanceof JobTransition.Returned returned) {
+            packer.packInt(RETURNED);
+            packIncarnation(packer, returned.worker());
         }
     }
 
@@ -225,6 +233,8 @@
                         unpackRun(unpacker), RunEnd.ofCode(unpacker.unpackInt()), unpacker.unpackString());
             case FORGOTTEN -> new JobTransition.Removed(JobId.of(unpacker.unpackString()));
             case BEGUN -> new JobTransition.Begun(JobId.of(unpacker.unpackString()));
+            case SILENT -> new JobTransition.Silent(unpackIncarnation(unpacker));
+            case RETURNED -> new JobTransition.Returned(unpackIncarnation(unpacker));
             default -> throw new IOException("unknown transition type " + type);
         };
     }
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobEngine.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobEngine.java
@@ -294,6 +294,9 @@
     }
 
     private void step() throws InterruptedException {
+        synchronized (table) {
+            scheduler.observeSilences(ticker.nanos());
+        }
         OptionalLong term = authority.term();
         if (term.isEmpty()) {
             return;
--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobSection.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobSection.java
@@ -66,6 +66,7 @@
                         packer,
                         table.latestDrainCommands().entrySet(),
                         (out, latest) -> out.packString(latest.getKey().value()).packLong(latest.getValue()));
+                MessagePackCodec.list(packer, table.silences().keySet(), JobCodec::packIncarnation);
             });
         }
     }
@@ -96,6 +97,9 @@
                 if (unpacker.hasNext()) {
                     MessagePackCodec.list(unpacker, this::unpackLatestDrainCommand);
                 }
+                if (unpacker.hasNext()) {
+                    MessagePackCodec.list(unpacker, JobCodec::unpackIncarnation).forEach(table::restoreSilence);
+                }
                 return epoch;
             });
         }
--- a/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/jobs/JobSectionTests.java
+++ b/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/jobs/JobSectionTests.java
@@ -42,6 +42,7 @@
     private static final int NOT_BEGUN_BYTES = 1;
     private static final int DRAINED_BYTES = 1;
     private static final int DRAIN_COMMANDS_BYTES = 1;
+    private static final int SILENCES_BYTES = 1;
 
     /** A gang of four whose members run, in a snapshot without the list of gangs. */
     private static final String EARLIER_RUNNING =
@@ -117,7 +118,13 @@
         byte[] snapshot = section.snapshot();
         byte[] earlier = Arrays.copyOf(
                 snapshot,
-                snapshot.length - CRASHES_BYTES - GANGS_BYTES - NOT_BEGUN_BYTES - DRAINED_BYTES - DRAIN_COMMANDS_BYTES);
+                snapshot.length
+                        - CRASHES_BYTES
+                        - GANGS_BYTES
+                        - NOT_BEGUN_BYTES
+                        - DRAINED_BYTES
+                        - DRAIN_COMMANDS_BYTES
+                        - SILENCES_BYTES);
         JobSection restored = new JobSection();
         restored.restore(earlier);
         assertThat(restored.snapshot()).hasLength(snapshot.length + "saved".length());
@@ -125,6 +132,20 @@
         assertThat(crashes(restored)).isEqualTo(0);
     }
 
+    /** Guards against a lease that no scheduler waits for, since a snapshot has lost that its worker is silent. */
+    @Test
+    void restoresWhichWorkersAreSilent() {
+        fill();
+        WorkerIncarnation worker = section.table().busyWorkers().iterator().next();
+        apply(new JobCommand.Advance(section.table().epoch(), List.of(new JobTransition.Silent(worker))));
+        JobSection restored = new JobSection();
+        restored.restore(section.snapshot());
+        assertThat(restored.table().silences().keySet()).containsExactly(worker);
+        assertThat(restored.snapshot()).isEqualTo(section.snapshot());
+        apply(new JobCommand.Advance(section.table().epoch(), List.of(new JobTransition.Returned(worker))));
+        assertThat(section.table().silences()).isEmpty();
+    }
+
     /** Guards against a count of queued jobs that leaves out those that no worker has started. */
     @Test
     void restoresWhetherAJobHasBegun() {
@@ -200,7 +221,7 @@
             long latest = index;
             JobSection empty = new JobSection();
             byte[] earlier = empty.snapshot();
-            section.restore(Arrays.copyOf(earlier, earlier.length - DRAIN_COMMANDS_BYTES));
+            section.restore(Arrays.copyOf(earlier, earlier.length - DRAIN_COMMANDS_BYTES - SILENCES_BYTES));
             assertThat(outcome(new JobCommand.Drain(A, latest))).isEqualTo(JobOutcome.APPLIED);
         }
 
@@ -221,7 +242,8 @@
             fill();
             byte[] snapshot = section.snapshot();
             apply(new JobCommand.Drain(A));
-            section.restore(Arrays.copyOf(snapshot, snapshot.length - DRAINED_BYTES - DRAIN_COMMANDS_BYTES));
+            section.restore(
+                    Arrays.copyOf(snapshot, snapshot.length - DRAINED_BYTES - DRAIN_COMMANDS_BYTES - SILENCES_BYTES));
             assertThat(section.table().drainedDataCentres()).isEmpty();
             assertThat(section.snapshot()).isEqualTo(snapshot);
         }
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/JobScheduler.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/JobScheduler.java
@@ -60,6 +60,18 @@
         planner.takeOver(now);
     }
 
+    /**
+     * Records when this host has learned which workers are silent, see {@link JobTransition.Silent}. Called
+     * periodically on all hosts with a table, since it bounds how long the host waits for the workers' leases once it
+     * takes over.
+     *
+     * @param now the current time, in nanoseconds of a monotonic clock
+     * @since 0.3
+     */
+    public void observeSilences(long now) {
+        state.observeSilences(now);
+    }
+
     /**
      * Processes a worker's report and answers it immediately.
      *
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/JobTable.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/JobTable.java
@@ -38,6 +38,9 @@
     /** The number of the latest change of the runs on each worker with runs; no two changes have the same number. */
     private final Map<WorkerIncarnation, Long> runChanges = new HashMap<>();
 
+    /** The silent workers, each with the number of the silence; no two silences have the same number. */
+    private final Map<WorkerIncarnation, Long> silences = new LinkedHashMap<>();
+
     private final Map<JobClassName, Integer> queued = new HashMap<>();
     /** Ordered, so that equal sets have equal snapshots. */
     private final Set<DataCentreId> drainedDataCentres = new TreeSet<>();
@@ -46,6 +49,7 @@
 
     private long epoch;
     private long lastRunChange;
+    private long lastSilence;
 
     private JobTable() {}
 
@@ -196,6 +200,16 @@
         return workerRuns != null && workerRuns.contains(run);
     }
 
+    /**
+     * Returns the silent workers with live runs, whose leases no scheduler extends, see {@link JobTransition.Silent}.
+     *
+     * @return the number of the current silence of each worker, which no other silence has; a live view
+     * @since 0.3
+     */
+    public Map<WorkerIncarnation, Long> silences() {
+        return Collections.unmodifiableMap(silences);
+    }
+
     /**
      * Returns a number that changes whenever the runs on a worker or the records of their tasks change.
      *
@@ -260,6 +274,10 @@
                 end(ended);
             } else if (transition instanceof JobTransition.Begun begun) {
                 find(begun.job()).ifPresent(this::begin);
+            } else if (transition instanceof JobTransition.Silent silent) {
+                recordSilence(silent.worker());
+            } else if (transition instanceof JobTransition.Returned returned) {
+                silences.remove(returned.worker());
             } else if (transition instanceof JobTransition.Removed removed) {
                 forget(removed.job());
             }
@@ -267,6 +285,12 @@
         return JobOutcome.APPLIED;
     }
 
+    private void recordSilence(WorkerIncarnation worker) {
+        if (runs.containsKey(worker)) {
+            silences.putIfAbsent(worker, ++lastSilence);
+        }
+    }
+
     private void start(JobTransition.Started started) {
         TaskKey key = started.run().task();
         JobRecord job = jobs.get(key.job());
@@ -364,6 +388,7 @@
             if (workerRuns.isEmpty()) {
                 runs.remove(worker);
                 runChanges.remove(worker);
+                silences.remove(worker);
             }
         }
     }
@@ -402,6 +427,7 @@
         canceledBeforeArrival.clear();
         runs.clear();
         runChanges.clear();
+        silences.clear();
         queued.clear();
         drainedDataCentres.clear();
         latestDrainCommands.clear();
@@ -486,6 +512,16 @@
         jobs.get(member.job()).step(member).restoreGangAttempt(startCheckpoint, recency);
     }
 
+    /**
+     * Restores that a worker is silent.
+     *
+     * @param worker the incarnation of a worker with restored live runs
+     * @since 0.3
+     */
+    public void restoreSilence(WorkerIncarnation worker) {
+        recordSilence(worker);
+    }
+
     /**
      * Restores that a data centre is drained.
      *
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/JobTransition.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/JobTransition.java
@@ -47,6 +47,25 @@
      */
     record Begun(JobId job) implements JobTransition {}
 
+    /**
+     * Records that a worker has not reported for a while: the scheduler has not extended its lease since it planned
+     * this transition, and no scheduler does until {@link Returned} is applied. The transition has no effect if the
+     * worker has no live runs.
+     *
+     * @param worker the worker's incarnation
+     * @since 0.3
+     */
+    record Silent(WorkerIncarnation worker) implements JobTransition {}
+
+    /**
+     * Records that a silent worker has reported again, so that its lease may be extended. The transition has no effect
+     * if the worker is not silent.
+     *
+     * @param worker the worker's incarnation
+     * @since 0.3
+     */
+    record Returned(WorkerIncarnation worker) implements JobTransition {}
+
     /**
      * Removes a job whose retention period after its end is over.
      *
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/ReportHandler.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/ReportHandler.java
@@ -23,6 +23,9 @@
     /** The time to stop a task, to start it on another worker and to load its checkpoint. */
     static final double MOVE_MILLIS = 700;
 
+    /** The time until the next report of a worker whose return is being committed. */
+    private static final long RETURNING_REPORT_MILLIS = 100;
+
     /** How many times longer a task must take on a slow worker than elsewhere to be moved. */
     private static final double MIN_MOVE_GAIN = 1.5;
 
@@ -48,7 +51,11 @@
         if (!known) {
             state.events().workerSeen(report);
         }
-        entry.extendLease(now + state.times().leaseBoundNanos());
+        boolean extendsLease = state.mayExtendLease(entry.incarnation());
+        entry.extendLease(
+                extendsLease
+                        ? now + state.times().leaseBoundNanos()
+                        : state.inheritedLeaseEndNanos(entry.incarnation()));
         if (now - state.takenOverNanos() >= state.times().reportTimeout().toNanos()) {
             entry.endInheritedAnswers();
         }
@@ -60,8 +67,8 @@
         requestStops(entry, now);
         recordOverdueRuns(entry, now);
         protectServingTasks(entry, residents, now);
-        return Optional.of(new ReportReceipt(
-                report.incarnation(), report.sequence(), timing(entry).answerDueNanos(now)));
+        long answerDueNanos = extendsLease ? timing(entry).answerDueNanos(now) : now;
+        return Optional.of(new ReportReceipt(report.incarnation(), report.sequence(), answerDueNanos));
     }
 
     /** Returns the answer to a report, empty if a later report or another incarnation has replaced it. */
@@ -229,21 +236,22 @@
     private WorkerInstructions instructions(WorkerEntry entry) {
         List<WorkerInstructions.Start> starts = starts(entry);
         starts.forEach(start -> entry.startSent(start.run()));
+        boolean mayExtendLease = state.mayExtendLease(entry.incarnation());
         return new WorkerInstructions(
-                state.times().lease().toMillis(),
+                mayExtendLease ? state.times().lease().toMillis() : 0,
                 acknowledged(entry),
                 state.table().epoch(),
                 starts,
                 stops(entry),
                 throttles(entry),
-                timing(entry).nextReportMillis());
+                mayExtendLease ? timing(entry).nextReportMillis() : RETURNING_REPORT_MILLIS);
     }
 
     private List<WorkerInstructions.Start> starts(WorkerEntry entry) {
         Set<RunKey> ended = new HashSet<>();
         entry.report().ended().forEach(end -> ended.add(end.run()));
         List<WorkerInstructions.Start> starts = new ArrayList<>();
-        if (state.drained(entry)) {
+        if (state.drained(entry) || !state.mayExtendLease(entry.incarnation())) {
             return starts;
         }
         for (RunKey run : state.table().runsOn(entry.incarnation())) {
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/SchedulerListener.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/SchedulerListener.java
@@ -32,8 +32,8 @@
     void workerGone(WorkerIncarnation incarnation, String reason);
 
     /**
-     * Called once for a worker with live runs that has not reported for a while, or not yet to a new scheduler. Its
-     * runs keep their capacity until it reports or is given up.
+     * Called when it is about to be recorded that a worker with live runs has not reported for a while, or not yet to a
+     * new scheduler. Its runs keep their capacity until it reports or is given up.
      *
      * @param incarnation the worker's incarnation
      * @param runs the number of live runs on the worker
@@ -43,6 +43,14 @@
      */
     void workerSilent(WorkerIncarnation incarnation, int runs, boolean reported, long millis);
 
+    /**
+     * Called when it is about to be recorded that a silent worker has reported again.
+     *
+     * @param incarnation the worker's incarnation
+     * @since 0.3
+     */
+    void workerReturned(WorkerIncarnation incarnation);
+
     /**
      * Called when a report is ignored, since it is late or of an earlier incarnation.
      *
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/SchedulerState.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/SchedulerState.java
@@ -42,6 +42,10 @@
     private final Map<RunKey, WorkerIncarnation> startsWithoutEnd = new HashMap<>();
     /** The runs that end with the latest plan, which may not be committed yet. */
     private final Set<RunKey> endingRuns = new HashSet<>();
+    /** The workers that are recorded as silent with the latest plan, which may not be committed yet. */
+    private final Set<WorkerIncarnation> fallingSilent = new HashSet<>();
+
+    private final Map<WorkerIncarnation, ObservedSilence> observedSilences = new HashMap<>();
 
     private long takenOverNanos;
     private WorkerRegistry workers = new WorkerRegistry();
@@ -103,6 +107,7 @@
         health.resetStarted();
         workers = new WorkerRegistry();
         endingRuns.clear();
+        fallingSilent.clear();
         inheritedRuns.clear();
         begunJobs.clear();
         startsWithoutEnd.clear();
@@ -116,9 +121,34 @@
         return takenOverNanos;
     }
 
-    /** Returns when the leases that earlier schedulers may have granted have certainly expired. */
-    long inheritedLeaseEndNanos() {
-        return takenOverNanos + times.inheritedLeaseBoundNanos();
+    /**
+     * Records when this host has learned which workers are silent. Their leases were not extended afterwards, whichever
+     * host was the scheduler, so they end by this host's clock.
+     */
+    void observeSilences(long now) {
+        Map<WorkerIncarnation, Long> silences = table.silences();
+        if (silences.isEmpty() && observedSilences.isEmpty()) {
+            return;
+        }
+        observedSilences.keySet().retainAll(silences.keySet());
+        silences.forEach((worker, number) -> {
+            ObservedSilence known = observedSilences.get(worker);
+            if (known == null || known.number() != number) {
+                observedSilences.put(worker, new ObservedSilence(number, now));
+            }
+        });
+    }
+
+    /** Returns whether a worker's lease may be extended. A silent worker's may be once its return is committed. */
+    boolean mayExtendLease(WorkerIncarnation worker) {
+        return !table.silences().containsKey(worker) && !fallingSilent.contains(worker);
+    }
+
+    /** Returns when the leases that earlier schedulers may have granted to a worker have certainly expired. */
+    long inheritedLeaseEndNanos(WorkerIncarnation worker) {
+        long endNanos = takenOverNanos + times.inheritedLeaseBoundNanos();
+        ObservedSilence silence = observedSilences.get(worker);
+        return silence == null ? endNanos : Math.min(endNanos, silence.sinceNanos() + times.leaseBoundNanos());
     }
 
     /** Returns whether a run was started by an earlier scheduler. */
@@ -166,12 +196,15 @@
         return begunJobs;
     }
 
-    /** Records the ends of a plan that is about to be committed. */
-    void recordEnding(List<JobTransition> plan) {
+    /** Records a plan that is about to be committed. */
+    void recordPlan(List<JobTransition> plan) {
         endingRuns.clear();
+        fallingSilent.clear();
         for (JobTransition transition : plan) {
             if (transition instanceof JobTransition.Ended ended) {
                 endingRuns.add(ended.run());
+            } else if (transition instanceof JobTransition.Silent silent) {
+                fallingSilent.add(silent.worker());
             }
         }
     }
@@ -244,6 +277,9 @@
         return avoidedWorkers.getOrDefault(task, Set.of());
     }
 
+    /** A silence by its number, see {@link JobTable#silences}, and when this host has learned of it. */
+    private record ObservedSilence(long number, long sinceNanos) {}
+
     /** Bounds the share of a service's workers that are quarantined at a time, and reports quarantines. */
     private final class Quarantines implements QuarantineControl {
         @Override
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TransitionPlanner.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TransitionPlanner.java
@@ -34,7 +34,6 @@
     private long begunPlannedNanos;
     private final Map<JobId, Long> endedNanos = new HashMap<>();
     private final Set<JobId> givenUp = new HashSet<>();
-    private final Set<WorkerIncarnation> reportedSilences = new HashSet<>();
 
     TransitionPlanner(SchedulerState state) {
         this.state = state;
@@ -43,7 +42,6 @@
 
     void takeOver(long now) {
         drainMoves.takeOver();
-        reportedSilences.clear();
         begunPlannedNanos = now;
         for (JobRecord job : state.table().all()) {
             if (job.state().ended()) {
@@ -54,15 +52,16 @@
 
     List<JobTransition> plan(long now, long epochMillis) {
         List<JobTransition> plan = new ArrayList<>();
+        state.observeSilences(now);
         state.releaseEndedStarts();
         planEnds(plan, now);
         planEndsOfUnstarted(plan);
         planLosses(plan, now);
-        reportSilences(now);
         planStarts(plan, now, epochMillis);
         planRemovals(plan, now);
+        planSilences(plan, now);
         planBegunJobs(plan, now);
-        state.recordEnding(plan);
+        state.recordPlan(plan);
         return plan;
     }
 
@@ -177,31 +176,40 @@
         if (entry.isPresent()) {
             return entry.get().lost(now);
         }
-        return state.workers().superseded(incarnation) || now - state.inheritedLeaseEndNanos() >= 0;
+        return state.workers().superseded(incarnation) || now - state.inheritedLeaseEndNanos(incarnation) >= 0;
     }
 
-    /** Reports the workers with live runs that have been silent for a while. */
-    private void reportSilences(long now) {
-        reportedSilences.removeIf(worker -> !state.table().busyWorkers().contains(worker) || !silent(worker, now));
+    /** Records which workers have fallen silent, so that a later scheduler need not wait anew for their leases. */
+    private void planSilences(List<JobTransition> plan, long now) {
+        Set<WorkerIncarnation> silences = state.table().silences().keySet();
         for (WorkerIncarnation worker : state.table().busyWorkers()) {
-            if (silent(worker, now) && reportedSilences.add(worker)) {
-                Optional<WorkerEntry> entry = state.workers().find(worker);
-                long givenUpNanos = entry.map(WorkerEntry::leaseEndNanos).orElseGet(state::inheritedLeaseEndNanos);
-                state.events()
-                        .workerSilent(
-                                worker,
-                                state.table().runsOn(worker).size(),
-                                entry.isPresent(),
-                                TimeUnit.NANOSECONDS.toMillis(givenUpNanos - now));
+            boolean silent = silent(worker, now);
+            if (silent == silences.contains(worker) || plan.size() >= MAX_TRANSITIONS) {
+                continue;
+            }
+            Optional<WorkerEntry> entry = state.workers().find(worker);
+            if (!silent) {
+                state.events().workerReturned(worker);
+                plan.add(new JobTransition.Returned(worker));
+            } else if (!lost(worker, entry, now)) {
+                reportSilence(worker, entry, now);
+                plan.add(new JobTransition.Silent(worker));
             }
         }
     }
 
+    private void reportSilence(WorkerIncarnation worker, Optional<WorkerEntry> entry, long now) {
+        int runs = state.table().runsOn(worker).size();
+        long endNanos = entry.map(WorkerEntry::leaseEndNanos).orElseGet(() -> state.inheritedLeaseEndNanos(worker));
+        state.events().workerSilent(worker, runs, entry.isPresent(), TimeUnit.NANOSECONDS.toMillis(endNanos - now));
+    }
+
     private boolean silent(WorkerIncarnation worker, long now) {
         return state.workers()
                 .find(worker)
                 .map(entry -> entry.silentFor(now, SILENCE_NANOS))
-                .orElseGet(() -> now - state.takenOverNanos() > SILENCE_NANOS);
+                .orElseGet(() ->
+                        state.table().silences().containsKey(worker) || now - state.takenOverNanos() > SILENCE_NANOS);
     }
 
     private String lossReason(WorkerIncarnation incarnation, Optional<WorkerEntry> entry) {
@@ -324,8 +332,9 @@
         return placer;
     }
 
-    private static boolean acceptsTasks(WorkerEntry entry, long now) {
+    private boolean acceptsTasks(WorkerEntry entry, long now) {
         return !entry.report().leaving()
+                && state.mayExtendLease(entry.incarnation())
                 && !entry.exitAnnounced()
                 && !entry.refusing(now)
                 && !entry.silentFor(now, MAX_REPORT_AGE_NANOS);
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/WorkerInstructions.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/WorkerInstructions.java
@@ -5,7 +5,8 @@
 /**
  * Holds the answer to a worker's report: the lease, and the runs to start, stop and throttle.
  *
- * @param leaseMillis how long the worker may keep its tasks running, in milliseconds from the sending of the report
+ * @param leaseMillis how long the worker may keep its tasks running, in milliseconds from the sending of the report; 0
+ *     if the lease is not extended
  * @param acknowledged the highest number of an end that is committed; the worker no longer reports ends up to it
  * @param fence the epoch of the scheduler; the worker rejects answers with a lower epoch afterwards
  * @param starts the runs to start unless they are already running
--- a/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobSchedulerTests.java
+++ b/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobSchedulerTests.java
@@ -325,6 +325,91 @@
         }
     }
 
+    /** Guards against tasks that run twice since a silent worker runs on with a lease that no scheduler waits for. */
+    @Nested
+    class SilentWorkers {
+        private final RunKey run = JobFixtures.run("s1", 0, 0, 1);
+
+        @BeforeEach
+        void startALastingTask() {
+            accept("s1", JobFixtures.step(1, List.of(), true, false, 100));
+            startAll(W1);
+            report(W1, running("s1", 0, 1, 100));
+        }
+
+        @Test
+        void getNoLeaseWhileTheirSilenceIsBeingCommitted() {
+            now += TimeUnit.MILLISECONDS.toNanos(2100);
+            List<JobTransition> plan = plan();
+            assertThat(plan).contains(new JobTransition.Silent(W1));
+            assertThat(reportRunning().leaseMillis()).isEqualTo(0);
+            commit(plan);
+            assertThat(reportRunning().leaseMillis()).isEqualTo(0);
+        }
+
+        @Test
+        void getALeaseOnceTheirReturnIsCommitted() {
+            pass(2100);
+            assertThat(reportRunning().leaseMillis()).isEqualTo(0);
+            List<JobTransition> plan = plan();
+            assertThat(plan).contains(new JobTransition.Returned(W1));
+            assertThat(reportRunning().leaseMillis()).isEqualTo(0);
+            commit(plan);
+            assertThat(reportRunning().leaseMillis()).isEqualTo(10_000);
+        }
+
+        @Test
+        void getNoLeaseOfALaterSchedulerUntilTheirReturnIsCommitted() {
+            pass(2100);
+            takeOver("h2");
+            assertThat(reportRunning().leaseMillis()).isEqualTo(0);
+            commit(plan());
+            assertThat(reportRunning().leaseMillis()).isEqualTo(10_000);
+        }
+
+        @Test
+        void keepTheirRunsIfTheyReturnToALaterScheduler() {
+            pass(2100);
+            takeOver("h2");
+            pass(7000);
+            reportRunning();
+            pass(100);
+            reportRunning();
+            pass(9000);
+            assertThat(table.runsOn(W1)).containsExactly(run);
+        }
+
+        @Test
+        void getNoTasksUntilTheirReturnIsCommitted() {
+            pass(2100);
+            reportRunning();
+            accept("j1", JobFixtures.step(1, List.of()));
+            commit(plan());
+            assertThat(table.runsOn(W1)).containsExactly(run);
+            reportRunning();
+            commit(plan());
+            assertThat(table.runsOn(W1)).hasSize(2);
+        }
+
+        @Test
+        void fallSilentAnewAfterTheirReturn() {
+            pass(2100);
+            reportRunning();
+            pass(50);
+            reportRunning();
+            pass(2100);
+            takeOver("h2");
+            pass(8200);
+            assertThat(table.runsOn(W1)).containsExactly(run);
+            pass(2400);
+            assertThat(table.runsOn(W1)).isEmpty();
+        }
+
+        private WorkerInstructions reportRunning() {
+            return report(W1, running("s1", 0, 1, 100));
+        }
+    }
+
     /** Guards against tasks that run twice since a worker without an acknowledgement of its exit runs on. */
     @Nested
     class WorkersThatAnnounceTheirExit {
@@ -1873,6 +1958,9 @@
         @Override
         public void workerSilent(WorkerIncarnation incarnation, int runs, boolean reported, long millis) {}
 
+        @Override
+        public void workerReturned(WorkerIncarnation incarnation) {}
+
         @Override
         public void reportIgnored(WorkerReport report) {}
 
--- a/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobTableTests.java
+++ b/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobTableTests.java
@@ -6,6 +6,7 @@
 import dev.waxwinghead.model.id.HostId;
 import dev.waxwinghead.model.id.JobId;
 import java.util.List;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -54,6 +55,45 @@
         }
     }
 
+    @Nested
+    class Silences {
+        private final WorkerIncarnation worker = JobFixtures.incarnation("w1", 1);
+
+        @BeforeEach
+        void startARun() {
+            apply(JobFixtures.accept("j1", JobFixtures.step(1, List.of())));
+            advance(new JobTransition.Started(JobFixtures.run("j1", 0, 0, 1), worker));
+        }
+
+        @Test
+        void lastUntilTheWorkerReturns() {
+            advance(new JobTransition.Silent(worker));
+            assertThat(table.silences().keySet()).containsExactly(worker);
+            advance(new JobTransition.Returned(worker));
+            assertThat(table.silences()).isEmpty();
+        }
+
+        @Test
+        void endWithTheLastRunOfTheWorker() {
+            advance(new JobTransition.Silent(worker));
+            advance(new JobTransition.Ended(JobFixtures.run("j1", 0, 0, 1), RunEnd.INTERRUPTED, ""));
+            assertThat(table.silences()).isEmpty();
+            advance(new JobTransition.Silent(worker));
+            assertThat(table.silences()).isEmpty();
+        }
+
+        @Test
+        void haveANumberOfTheirOwn() {
+            advance(new JobTransition.Silent(worker));
+            long first = table.silences().get(worker);
+            advance(new JobTransition.Silent(worker));
+            assertThat(table.silences()).containsExactly(worker, first);
+            advance(new JobTransition.Returned(worker));
+            advance(new JobTransition.Silent(worker));
+            assertThat(table.silences().get(worker)).isNotEqualTo(first);
+        }
+    }
+
     /** Guards against a late order that undoes a newer one which was answered. */
     @Nested
     class OrdersForADataCentre {
--- a/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/SilentListener.java
+++ b/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/SilentListener.java
@@ -17,6 +17,9 @@
     @Override
     public void workerSilent(WorkerIncarnation incarnation, int runs, boolean reported, long millis) {}
 
+    @Override
+    public void workerReturned(WorkerIncarnation incarnation) {}
+
     @Override
     public void reportIgnored(WorkerReport report) {}
 
--- a/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/TableSnapshot.java
+++ b/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/TableSnapshot.java
@@ -10,12 +10,14 @@
     private final long epoch;
     private final List<JobId> canceled;
     private final List<DataCentreId> drained;
+    private final List<WorkerIncarnation> silent;
     private final List<Job> jobs = new ArrayList<>();
 
     private TableSnapshot(JobTable table) {
         this.epoch = table.epoch();
         this.canceled = List.copyOf(table.canceledBeforeArrival());
         this.drained = List.copyOf(table.drainedDataCentres());
+        this.silent = List.copyOf(table.silences().keySet());
         table.all().forEach(job -> jobs.add(new Job(job)));
     }
 
@@ -32,6 +34,7 @@
             job.crashes.forEach(crashed -> table.restoreCrashes(crashed.task(), crashed.crashes()));
             job.gangs.forEach(gang -> table.restoreGangAttempt(gang.member(), gang.checkpoint(), gang.recency()));
         }
+        silent.forEach(table::restoreSilence);
     }
 
     private record Crashes(TaskKey task, int crashes) {}
