Reserve capacity only where memory and accelerators suffice

Callers saw a lasting task stay without a run although the finite tasks of a worker would have made room for it: a task that has to run again and fits nowhere reserves capacity on the worker with the most free processor time, among those where it would fit once all finite tasks have ended. That check compared the processor time only. A worker whose memory or accelerators are held by lasting tasks could be chosen in every round. The task then waited for good, the finite tasks of the other workers were replaced by new ones, and the reservation kept all other tasks off the chosen worker, also replacements that would have fitted there.

WorkerCapacity now counts the memory and the accelerators of finite tasks as it does their processor time, and fitsEventually compares all three. Best-effort tasks hold memory but no processor time, so their memory counts and their processor time does not.

Both tests failed before. gathersRoomWhereMemoryBecomesFree: worker w22 ran j1.4 to j1.7 after four ends, and no second run of s0. leavesRoomWhereNoAcceleratorBecomesFree: worker w1 was empty, and s1, which fits there, had no second run.

JobSchedulerTests, PlannedRoundsTests, FleetTests, JobSchedulerModelTests and DrainTests ran.

--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/WorkerCapacity.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/WorkerCapacity.java
@@ -23,6 +23,8 @@
     private long freeAccelerators;
     private double unusedMillicores;
     private long finiteMillicores;
+    private long finiteMemoryBytes;
+    private long finiteAccelerators;
     private int servingTasks;
     private int finiteTasks;
     private int position;
@@ -114,7 +116,11 @@
         Resources need = step.need();
         freeMemoryBytes -= tasks * need.memoryBytes();
         freeAccelerators -= tasks * need.accelerators();
-        finiteTasks += step.lasting() ? 0 : tasks;
+        if (!step.lasting()) {
+            finiteTasks += tasks;
+            finiteMemoryBytes += tasks * need.memoryBytes();
+            finiteAccelerators += tasks * need.accelerators();
+        }
         long millicores = tasks * need.millicores();
         if (step.bestEffort()) {
             unusedMillicores -= millicores;
@@ -146,7 +152,10 @@
 
     /** Returns whether a task of a step would fit once all finite tasks on the worker have ended. */
     boolean fitsEventually(JobStep step) {
-        return step.need().millicores() <= freeMillicores + finiteMillicores;
+        Resources need = step.need();
+        return need.millicores() <= freeMillicores + finiteMillicores
+                && need.memoryBytes() <= freeMemoryBytes + finiteMemoryBytes
+                && need.accelerators() <= freeAccelerators + finiteAccelerators;
     }
 
     boolean fits(JobStep step) {
--- a/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobFixtures.java
+++ b/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobFixtures.java
@@ -24,9 +24,22 @@
 
     static JobStep step(
             int count, List<Integer> after, boolean lasting, boolean bestEffort, long targetMillis, long millicores) {
+        return step(count, Resources.of(millicores, 1000, 0), after, lasting, bestEffort, targetMillis);
+    }
+
+    static JobStep lasting(Resources need) {
+        return step(1, need, List.of(), true, false, 100);
+    }
+
+    static JobStep finite(int count, Resources need) {
+        return step(count, need, List.of(), false, false, 0);
+    }
+
+    private static JobStep step(
+            int count, Resources need, List<Integer> after, boolean lasting, boolean bestEffort, long targetMillis) {
         return new JobStep(
                 count,
-                Resources.of(millicores, 1000, 0),
+                need,
                 1000,
                 after,
                 true,
@@ -121,7 +134,7 @@
         return report(incarnation, sequence, "10.0.0.1:802", capacity, false, running, ended);
     }
 
-    private static WorkerReport report(
+    static WorkerReport report(
             WorkerIncarnation incarnation,
             long sequence,
             String address,
--- a/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobSchedulerTests.java
+++ b/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobSchedulerTests.java
@@ -1355,6 +1355,78 @@
         }
     }
 
+    @Nested
+    class ReservingForLastingTasksThatStartAgain {
+        private static final WorkerIncarnation LEAVING = JobFixtures.incarnation("leaving", 1);
+        private static final Resources LEAVING_CAPACITY = Resources.of(8000, 100_000, 1);
+        private static final Resources WITH_ACCELERATOR = Resources.of(4000, 100_000, 1);
+
+        /** Guards against a reservation on a worker whose memory other lasting tasks keep. */
+        @Test
+        void gathersRoomWhereMemoryBecomesFree() {
+            runOnLeavingWorker(JobFixtures.lasting(Resources.of(2000, 1000, 0)));
+            accept("m1", JobFixtures.lasting(Resources.of(1000, 99_500, 0)));
+            startAll(W1);
+            accept("j1", JobFixtures.finite(8, Resources.of(1000, 1000, 0)));
+            startAll(W22);
+            loseLeavingWorker();
+            for (int task = 0; task < 4; task++) {
+                end(W22, 1 + task, "j1", task);
+            }
+            assertThat(table.runsOn(W22)).contains(JobFixtures.run("s0", 0, 0, 2));
+        }
+
+        /** Guards against a reservation that keeps other tasks off a worker that never gets an accelerator. */
+        @Test
+        void leavesRoomWhereNoAcceleratorBecomesFree() {
+            runOnLeavingWorker(
+                    JobFixtures.lasting(Resources.of(2000, 1000, 1)), JobFixtures.lasting(Resources.of(3000, 1000, 0)));
+            accept("j1", JobFixtures.finite(1, Resources.of(2500, 1000, 1)));
+            reportCapacity(W22, WITH_ACCELERATOR);
+            commit(plan());
+            report(W1);
+            loseLeavingWorker();
+            assertThat(table.runsOn(W1)).containsExactly(JobFixtures.run("s1", 0, 0, 2));
+            reportCapacity(W22, WITH_ACCELERATOR, ended(1, "j1", 0, 1, ReportedEnd.COMPLETED));
+            commit(plan());
+            commit(plan());
+            assertThat(table.runsOn(W22)).containsExactly(JobFixtures.run("s0", 0, 0, 2));
+        }
+
+        /** Runs a job for each step on a worker that gets no further tasks. */
+        private void runOnLeavingWorker(JobStep... steps) {
+            for (int job = 0; job < steps.length; job++) {
+                accept("s" + job, steps[job]);
+            }
+            reportCapacity(LEAVING, LEAVING_CAPACITY);
+            commit(plan());
+            assertThat(table.runsOn(LEAVING)).hasSize(steps.length);
+            scheduler.workerLeft(LEAVING);
+        }
+
+        /** Ends the runs of the leaving worker and plans their replacement. */
+        private void loseLeavingWorker() {
+            replace(LEAVING);
+            commit(plan());
+            commit(plan());
+            assertThat(table.runsOn(LEAVING)).isEmpty();
+        }
+
+        /** Ends the first run of a task and plans twice. */
+        private void end(WorkerIncarnation worker, int number, String job, int task) {
+            report(worker, ended(number, job, task, 1, ReportedEnd.COMPLETED));
+            commit(plan());
+            commit(plan());
+        }
+
+        private void reportCapacity(WorkerIncarnation worker, Resources capacity, EndedRun... ended) {
+            String address = JobFixtures.report(worker, 0, List.of(), List.of()).address();
+            WorkerReport report =
+                    JobFixtures.report(worker, ++sequence, address, capacity, false, List.of(), List.of(ended));
+            assertThat(scheduler.report(report, now)).isNotEqualTo(Optional.empty());
+        }
+    }
+
     @Nested
     class StartingBestEffortTasks {
         @Test
