Reserve capacity on the worker that lacks least for the task

Callers saw a lasting task that has to run again wait while finite tasks took the room that had gathered for it. The worker for its reservation is chosen anew in each round, and was the one with the most free processor time. Processor time that becomes free on another worker moved the reservation there, although the memory that the task waits for was nearly free on the first worker and is held for long on the second. The room of the first worker then went to other tasks.

The reservation now goes to the worker with the smallest sum of missing shares of each resource; among equal ones, to that with the most free processor time. A reserved worker takes no task that raises its shortage, so the smallest shortage of all workers only falls, with no state between rounds that a change of the scheduler could lose. Where a task lacks processor time alone the order is the one before. By reading, the reservation never lost room in that case: it moved only to a worker with more free processor time.

keepsGatheringMemoryWhereAnotherWorkerGetsMoreProcessorTimeFree failed before: worker w1 ran j3.0 and j3.1, and s0 had no second run.

JobSchedulerTests, PlannedRoundsTests, FleetTests, JobSchedulerModelTests and DrainTests ran.

--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TaskPlacer.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TaskPlacer.java
@@ -4,6 +4,7 @@
 import dev.waxwinghead.model.id.ServiceName;
 import dev.waxwinghead.model.id.WorkerId;
 import dev.waxwinghead.scheduling.health.WorkerHealth;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -249,8 +250,8 @@
     }
 
     /**
-     * Reserves capacity for a task that has to run again and fits on no worker yet, on the worker with the most free
-     * capacity.
+     * Reserves capacity for a task that has to run again and fits on no worker yet, on the worker that lacks least for
+     * it. A worker that the next round prefers lacks no more, so room gathers although nothing is kept between rounds.
      *
      * @param service the service whose workers run the task
      * @param job the job
@@ -260,12 +261,14 @@
      *     round; false if no eligible worker would have room even after all finite tasks there have ended
      */
     boolean reserve(ServiceName service, JobId job, JobStep step, Map<WorkerId, Integer> perWorker) {
-        Optional<WorkerCapacity> freest = best(
-                workers(service).all(),
-                candidate -> candidate.fitsEventually(step) && meetsConstraints(candidate, job, step, perWorker),
-                WorkerCapacity::freeMillicores);
-        freest.ifPresent(candidate -> allocate(candidate, step, perWorker));
-        return freest.isPresent();
+        Optional<WorkerCapacity> closest = workers(service).all().stream()
+                .filter(candidate ->
+                        candidate.fitsEventually(step) && meetsConstraints(candidate, job, step, perWorker))
+                .min(Comparator.comparingDouble(this::coldPenalty)
+                        .thenComparingDouble(candidate -> candidate.shortage(step))
+                        .thenComparingLong(candidate -> -candidate.freeMillicores()));
+        closest.ifPresent(candidate -> allocate(candidate, step, perWorker));
+        return closest.isPresent();
     }
 
     private Optional<WaitReason> obstacle(
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/WorkerCapacity.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/WorkerCapacity.java
@@ -158,6 +158,21 @@
                 && need.accelerators() <= freeAccelerators + finiteAccelerators;
     }
 
+    /**
+     * Returns how much is missing for a task of a step to fit, as the sum of the missing shares of each resource that
+     * the task needs; 0 if it fits. Does not grow as long as capacity for the task is reserved on the worker.
+     */
+    double shortage(JobStep step) {
+        Resources need = step.need();
+        return shortage(need.millicores(), freeMillicores)
+                + shortage(need.memoryBytes(), freeMemoryBytes)
+                + shortage(need.accelerators(), freeAccelerators);
+    }
+
+    private static double shortage(long need, long free) {
+        return (double) Math.max(0, need - free) / Math.max(1, need);
+    }
+
     boolean fits(JobStep step) {
         Resources need = step.need();
         boolean memory = need.memoryBytes() <= freeMemoryBytes && need.accelerators() <= freeAccelerators;
--- a/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobFixtures.java
+++ b/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobFixtures.java
@@ -35,6 +35,10 @@
         return step(count, need, List.of(), false, false, 0);
     }
 
+    static JobStep bestEffort(Resources need) {
+        return step(1, need, List.of(), false, true, 0);
+    }
+
     private static JobStep step(
             int count, Resources need, List<Integer> after, boolean lasting, boolean bestEffort, long targetMillis) {
         return new JobStep(
--- a/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobSchedulerTests.java
+++ b/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobSchedulerTests.java
@@ -1393,6 +1393,23 @@
             assertThat(table.runsOn(W22)).containsExactly(JobFixtures.run("s0", 0, 0, 2));
         }
 
+        /** Guards against a reservation that leaves a worker on which most of the memory has become free. */
+        @Test
+        void keepsGatheringMemoryWhereAnotherWorkerGetsMoreProcessorTimeFree() {
+            runOnLeavingWorker(JobFixtures.lasting(Resources.of(1000, 60_000, 0)));
+            accept("j1", JobFixtures.finite(2, Resources.of(1000, 50_000, 0)));
+            startAll(W1);
+            accept("b1", JobFixtures.bestEffort(Resources.of(1000, 100_000, 0)));
+            accept("j2", JobFixtures.finite(1, Resources.of(3000, 0, 0)));
+            startAll(W22);
+            accept("j3", JobFixtures.finite(4, Resources.of(1000, 50_000, 0)));
+            loseLeavingWorker();
+            end(W1, 1, "j1", 0);
+            end(W22, 1, "j2", 0);
+            end(W1, 2, "j1", 1);
+            assertThat(table.runsOn(W1)).containsExactly(JobFixtures.run("s0", 0, 0, 2));
+        }
+
         /** Runs a job for each step on a worker that gets no further tasks. */
         private void runOnLeavingWorker(JobStep... steps) {
             for (int job = 0; job < steps.length; job++) {
