--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/WorkerCapacity.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/WorkerCapacity.java
@@ -23,6 +23,8 @@
     private long freeAccelerators;
     private double unusedMillicores;
     private long finiteMillicores;
+    private long finiteMemoryBytes;
+    private long finiteAccelerators;
     private int servingTasks;
     private int finiteTasks;
     private int position;
@@ -114,7 +116,11 @@
         Resources need = step.need();
         freeMemoryBytes -= tasks * need.memoryBytes();
         freeAccelerators -= tasks * need.accelerators();
-        finiteTasks += step.lasting() ? 0 : tasks;
+        if (!step.lasting()) {
+            finiteTasks += tasks;
+            finiteMemoryBytes += tasks * need.memoryBytes();
+            finiteAccelerators += tasks * need.accelerators();
+        }
         long millicores = tasks * need.millicores();
         if (step.bestEffort()) {
             unusedMillicores -= millicores;
@@ -146,7 +152,25 @@
 
     /** Returns whether a task of a step would fit once all finite tasks on the worker have ended. */
     boolean fitsEventually(JobStep step) {
-        return step.need().millicores() <= freeMillicores + finiteMillicores;
+        Resources need = step.need();
+        return need.millicores() <= freeMillicores + finiteMillicores
+                && need.memoryBytes() <= freeMemoryBytes + finiteMemoryBytes
+                && need.accelerators() <= freeAccelerators + finiteAccelerators;
+    }
+
+    /**
+     * Returns how much is missing for a task of a step to fit, as the sum of the missing shares of each resource that
+     * the task needs; 0 if it fits. Does not grow as long as capacity for the task is reserved on the worker.
+     */
+    double shortage(JobStep step) {
+        Resources need = step.need();
+        return shortage(need.millicores(), freeMillicores)
+                + shortage(need.memoryBytes(), freeMemoryBytes)
+                + shortage(need.accelerators(), freeAccelerators);
+    }
+
+    private static double shortage(long need, long free) {
+        return (double) Math.max(0, need - free) / Math.max(1, need);
     }
 
     boolean fits(JobStep step) {
