Play planned work and constrained tasks in random histories

Callers saw a lasting task that ran wait 14 s for its next run although there was capacity. The histories of JobSchedulerModelTests could not show it: they settle for longer than the longest lease before they check, submit nothing meanwhile, and no memory, label or limit per worker binds.

In histories with planned work schedulers are replaced one after another, with and without what they have learned, workers leave with short notice and finite jobs are submitted for 30 s without any other disturbance. Tasks are constrained by memory, label and their number per worker, also while the history is disturbed. While there is capacity twice over on workers that are up, not leaving and not quarantined, a lasting task that ran has to run again within 6 s of the end of its run if the acting scheduler has heard of the end, and within the bound of inherited leases and 2 s otherwise. Workers check their memory as they check their processor time.

TaskPlacer.reserve deducts capacity for a lasting task that fits on no worker, and WorkerCapacity.fitsEventually compares the processor time alone.

--- a/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobSchedulerModelTests.java
+++ b/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobSchedulerModelTests.java
@@ -16,7 +16,7 @@
     @Test
     void roomEqualsWhatRunsAndTasksRunOnceAndInTime() {
         for (long seed = FIRST_SEED; seed < FIRST_SEED + HISTORIES; seed++) {
-            play(seed, false, false);
+            play(seed, false, false, false);
         }
     }
 
@@ -27,7 +27,7 @@
     @Test
     void holdsForAllKindsOfTasks() {
         for (long seed = FIRST_SEED; seed < FIRST_SEED + HISTORIES; seed++) {
-            play(seed, true, false);
+            play(seed, true, false, false);
         }
     }
 
@@ -38,7 +38,17 @@
     @Test
     void holdsForDrainsAtAnyMoment() {
         for (long seed = FIRST_SEED; seed < FIRST_SEED + HISTORIES; seed++) {
-            play(seed, seed % 2 == 0, true);
+            play(seed, seed % 2 == 0, true, false);
+        }
+    }
+
+    /**
+     * Guards against lasting tasks that wait for long while schedulers restart, workers leave or other work goes on.
+     */
+    @Test
+    void lastingTasksRunAgainInTimeDuringPlannedWork() {
+        for (long seed = FIRST_SEED; seed < FIRST_SEED + HISTORIES; seed++) {
+            play(seed, false, false, true);
         }
     }
 
@@ -46,19 +56,19 @@
     @ParameterizedTest
     @ValueSource(longs = {2, 228, 1847, 2535, 3030, 4124})
     void holdsForHistoriesThatFailedBefore(long seed) {
-        play(seed, false, false);
+        play(seed, false, false, false);
     }
 
     /** Guards against the faults of a gang that starts again (1058) and of a lasting task that does not (7). */
     @ParameterizedTest
     @ValueSource(longs = {7, 1058})
     void holdsForHistoriesOfAllKindsThatFailedBefore(long seed) {
-        play(seed, true, false);
+        play(seed, true, false, false);
     }
 
-    private static void play(long seed, boolean allKinds, boolean withDrains) {
+    private static void play(long seed, boolean allKinds, boolean withDrains, boolean withPlannedWork) {
         try {
-            new ModelFleet(seed, Boolean.getBoolean("trace"), allKinds, withDrains).run();
+            new ModelFleet(seed, Boolean.getBoolean("trace"), allKinds, withDrains, withPlannedWork).run();
         } catch (AssertionError e) {
             throw new AssertionError("seed " + seed + ": " + e.getMessage(), e);
         }
--- a/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/ModelFleet.java
+++ b/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/ModelFleet.java
@@ -53,6 +53,14 @@
     private static final long MAX_WAIT_MILLIS = 3000;
     private static final long MAX_LASTING_WAIT_MILLIS = 6000;
     private static final long CHECKED_MILLIS = 8000;
+    private static final long PLANNED_WORK_MILLIS = 30_000;
+    private static final int MEAN_PLANNED_EVENT_MILLIS = 600;
+    private static final String LABEL = "ssd";
+
+    /** How long a lasting task may wait after its worker has gone without a report of the end. */
+    private static final long MAX_LASTING_WAIT_AFTER_LOSS_MILLIS =
+            TimeUnit.NANOSECONDS.toMillis(TIMES.inheritedLeaseBoundNanos()) + 2000;
+
     private static final long FILLING_MILLICORES = 1000;
     private static final long NO_EPOCH = -1;
     private static final List<DataCentreId> DATA_CENTRES = List.of(DataCentreId.of("dc-0"), DataCentreId.of("dc-1"));
@@ -67,6 +75,11 @@
     /** Draws the drains of data centres in histories that have any. */
     private final Optional<Random> drains;
 
+    /** Draws the planned work and the constraints of tasks in histories that have them. */
+    private final Optional<Random> plannedWork;
+
+    private final LastingTaskWaits lastingWaits =
+            new LastingTaskWaits(MAX_LASTING_WAIT_MILLIS, MAX_LASTING_WAIT_AFTER_LOSS_MILLIS);
     private final Map<DataCentreId, Long> drainedMillis = new HashMap<>();
     private final boolean tracing;
     private final JobTable table = JobTable.create();
@@ -97,16 +110,20 @@
      * @param allKinds whether the history also has scheduled jobs, speculative steps, lasting gangs, lasting tasks that
      *     complete, crashes before an end is reported, and tables restored from a snapshot
      * @param withDrains whether data centres are drained and undrained
+     * @param withPlannedWork whether schedulers restart, workers leave with short notice and finite jobs are submitted
+     *     while lasting tasks are checked, and whether tasks are constrained by memory, labels and their number per
+     *     worker; no task fails
      */
-    ModelFleet(long seed, boolean tracing, boolean allKinds, boolean withDrains) {
+    ModelFleet(long seed, boolean tracing, boolean allKinds, boolean withDrains, boolean withPlannedWork) {
         this.random = new Random(seed);
         this.kinds = allKinds ? Optional.of(new Random(~seed)) : Optional.empty();
         this.drains = withDrains ? Optional.of(new Random(31 * ~seed)) : Optional.empty();
+        this.plannedWork = withPlannedWork ? Optional.of(new Random(37 * ~seed)) : Optional.empty();
         this.tracing = tracing;
         this.lossShare = random.nextBoolean() ? 0 : 0.2 * random.nextDouble();
         this.delayShare = random.nextBoolean() ? 0 : 0.3 * random.nextDouble();
         this.commitTroubleShare = random.nextBoolean() ? 0 : 0.1 * random.nextDouble();
-        this.failureShare = random.nextInt(4) > 0 ? 0 : 0.1;
+        this.failureShare = random.nextInt(4) > 0 || withPlannedWork ? 0 : 0.1;
         this.promptCancelShare = random.nextBoolean() ? 0 : random.nextDouble();
         this.meanEventMillis = 100 + random.nextInt(900);
         int count = 3 + random.nextInt(4);
@@ -124,6 +141,7 @@
             disturb(2000 + random.nextInt(8000));
             settle();
             check();
+            plannedWork.ifPresent(this::playPlannedWork);
             DATA_CENTRES.forEach(this::undrain);
         }
         checkAllRoomIsGivenBack();
@@ -219,6 +237,156 @@
         }
     }
 
+    // Planned work
+
+    /** Plays planned work without any disturbance, and checks that lasting tasks run again in time. */
+    private void playPlannedWork(Random draws) {
+        trace("planned work begins");
+        List.copyOf(table.active()).stream().filter(job -> draws.nextBoolean()).forEach(this::cancel);
+        for (int jobs = 1 + draws.nextInt(4); jobs > 0; jobs--) {
+            submitPlanned(draws, true);
+        }
+        lastingWaits.beginAt(nowMillis);
+        long end = nowMillis + PLANNED_WORK_MILLIS;
+        long nextMillis = nowMillis;
+        while (nowMillis < end) {
+            if (nowMillis >= nextMillis) {
+                playPlannedEvent(draws);
+                nextMillis = nowMillis + draws.nextInt(2 * MEAN_PLANNED_EVENT_MILLIS);
+            }
+            requireLastingTasksRunAgain();
+            runUntil(nowMillis + SAMPLE_MILLIS);
+        }
+        long quietMillis = nowMillis + MAX_LASTING_WAIT_AFTER_LOSS_MILLIS;
+        while (nowMillis < quietMillis || pending > 0) {
+            requireLastingTasksRunAgain();
+            runUntil(nowMillis + SAMPLE_MILLIS);
+        }
+        settle();
+    }
+
+    private void playPlannedEvent(Random draws) {
+        switch (draws.nextInt(10)) {
+            case 0 -> replaceLeader(draws);
+            case 1 -> replaceLeaders(draws);
+            case 2 -> leaveSoon(draws);
+            case 3 -> {
+                leaveSoon(draws);
+                replaceLeaders(draws);
+            }
+            case 4 -> submitPlanned(draws, true);
+            case 5 -> cancel();
+            default -> submitPlanned(draws, false);
+        }
+    }
+
+    /** Replaces several leaders one after another, as an upgrade does. */
+    private void replaceLeaders(Random draws) {
+        long delayMillis = 0;
+        for (int changes = 1 + draws.nextInt(4); changes > 0; changes--) {
+            delayMillis += draws.nextInt(4000);
+            later(delayMillis, () -> replaceLeader(draws));
+        }
+    }
+
+    /** Lets the other host lead, while the leader restarts or runs on with what it has learned. */
+    private void replaceLeader(Random draws) {
+        if (draws.nextBoolean()) {
+            trace("%s restarts", leader.id);
+            leader.restart();
+        }
+        changeLeader();
+    }
+
+    private void leaveSoon(Random draws) {
+        ModelWorker worker = workers.get(draws.nextInt(workers.size()));
+        if (!worker.up() || worker.leaving()) {
+            return;
+        }
+        WorkerIncarnation incarnation = worker.incarnation();
+        long noticeMillis = draws.nextInt(1500);
+        long absenceMillis = draws.nextInt(12_000);
+        worker.drain(noticeMillis);
+        later(
+                noticeMillis,
+                () -> whileUp(worker, incarnation, () -> {
+                    worker.terminate("exit");
+                    restart(worker, absenceMillis);
+                }));
+    }
+
+    private void submitPlanned(Random draws, boolean lasting) {
+        int count = 1 + draws.nextInt(lasting ? 4 : 6);
+        long millicores = 250 + 250L * draws.nextInt(4);
+        JobStep step = JobFixtures.step(count, List.of(), lasting, false, 0, millicores);
+        submit(List.of(constrained(step)), JobSchedule.ONCE);
+    }
+
+    /** Returns a step with a need of memory, a label and a limit of tasks per worker that leave it fewer places. */
+    private JobStep constrained(JobStep step) {
+        if (plannedWork.isEmpty()) {
+            return step;
+        }
+        Random draws = plannedWork.get();
+        long memory = draws.nextInt(3) > 0 ? step.need().memoryBytes() : 20_000 + 1000L * draws.nextInt(30);
+        String label = draws.nextInt(4) > 0 ? "" : LABEL;
+        int maxPerWorker = draws.nextInt(3) > 0 ? 0 : 1 + draws.nextInt(2);
+        return new JobStep(
+                step.count(),
+                Resources.of(step.need().millicores(), memory, 0),
+                step.estimateMillis(),
+                step.after(),
+                step.checkpoints(),
+                step.gang(),
+                step.sameRack(),
+                label,
+                step.dataRack(),
+                maxPerWorker,
+                step.speculative(),
+                step.lasting(),
+                step.image(),
+                step.targetMillis(),
+                step.bestEffort(),
+                step.maxUnavailable());
+    }
+
+    Set<String> labels(int worker) {
+        return worker % 3 == 0 ? Set.of() : Set.of(LABEL);
+    }
+
+    private void requireLastingTasksRunAgain() {
+        for (JobId id : table.active()) {
+            JobRecord job = table.find(id).orElseThrow();
+            for (int occurrence = 0; occurrence < job.occurrences().size(); occurrence++) {
+                for (int position = 0; position < job.submission().steps().size(); position++) {
+                    JobStep step = job.submission().steps().get(position);
+                    if (step.lasting() && !step.gang() && !step.bestEffort()) {
+                        requireTasksRunAgain(job, occurrence, position);
+                    }
+                }
+            }
+        }
+    }
+
+    private void requireTasksRunAgain(JobRecord job, int occurrence, int position) {
+        JobStep step = job.submission().steps().get(position);
+        for (int index = 0; index < step.count(); index++) {
+            TaskKey task = new TaskKey(job.id(), occurrence, position, index);
+            if (!lastingWaits.waits(task)) {
+                continue;
+            }
+            List<TaskRecord.LiveRun> live = job.task(task).liveRuns();
+            live.forEach(run -> lastingWaits.assigned(new RunKey(task, run.attempt()), run.worker()));
+            if (leader.scheduler.quarantinedWorkers() > 0 || !hasCapacityFor(task, step)) {
+                lastingWaits.withoutCapacity(task, nowMillis);
+            }
+            lastingWaits
+                    .overdueSince(task, nowMillis)
+                    .ifPresent(since ->
+                            require(false, "%s has had no run since %s, and %s in the table", task, since, live));
+        }
+    }
+
     // Data centres
 
     DataCentreId dataCentre(int worker) {
@@ -257,27 +425,32 @@
     // Jobs
 
     private void submit() {
-        JobId id = JobId.of("j" + jobNumber++);
         List<JobStep> steps = new ArrayList<>();
         int count = 1 + random.nextInt(3);
         for (int position = 0; position < count; position++) {
             boolean waits = position > 0
                     && random.nextInt(3) > 0
                     && !steps.get(position - 1).lasting();
-            steps.add(ofAnyKind(randomStep(waits ? List.of(position - 1) : List.of())));
+            steps.add(constrained(ofAnyKind(randomStep(waits ? List.of(position - 1) : List.of()))));
+        }
+        JobId id = submit(steps, schedule());
+        if (random.nextDouble() < promptCancelShare) {
+            later(random.nextInt(60), () -> cancel(id));
         }
+    }
+
+    private JobId submit(List<JobStep> steps, JobSchedule schedule) {
+        JobId id = JobId.of("j" + jobNumber++);
         JobTerms terms = new JobTerms(
                 JobClassName.of("c" + random.nextInt(3)), ServiceName.of("orders"), random.nextInt(3), 3, 1.5, 5000);
-        JobSubmission submission = new JobSubmission(id, "p", steps, schedule());
+        JobSubmission submission = new JobSubmission(id, "p", steps, schedule);
         if (random.nextInt(10) == 0) {
             table.apply(++logIndex, new JobCommand.Cancel(id));
         }
         trace("accepts %s", submission);
         table.apply(++logIndex, new JobCommand.Accept(submission, terms, nowMillis));
         step(leader);
-        if (random.nextDouble() < promptCancelShare) {
-            later(random.nextInt(60), () -> cancel(id));
-        }
+        return id;
     }
 
     private JobStep randomStep(List<Integer> after) {
@@ -450,6 +623,7 @@
         }
         Optional<ReportReceipt> receipt = leader.scheduler.receive(report, nanos());
         if (!report.ended().isEmpty()) {
+            receipt.ifPresent(received -> lastingWaits.reported(report.ended()));
             step(leader);
         }
         if (receipt.isEmpty()) {
@@ -611,6 +785,12 @@
                 "%s exceeds the capacity of %s",
                 run.key(),
                 worker.incarnation());
+        require(
+                worker.freeMemory() >= run.step().need().memoryBytes(),
+                "%s exceeds the memory of %s",
+                run.key(),
+                worker.incarnation());
+        lastingWaits.started(task);
         JobSubmission submission = table.find(task.job()).orElseThrow().submission();
         require(
                 submission.schedule().dueEpochMillis(task.occurrence()) <= nowMillis,
@@ -629,6 +809,7 @@
         if (how == ReportedEnd.COMPLETED && !step(run.task()).lasting()) {
             completions.computeIfAbsent(run.task(), key -> new ArrayList<>()).add(new Completion(run));
         }
+        recordLastingEnd(run);
         memberGone(run, how != ReportedEnd.COMPLETED);
     }
 
@@ -692,8 +873,19 @@
         }));
     }
 
-    void memberGone(RunKey run) {
-        memberGone(run, true);
+    /** Records that a worker's process has ended, and its runs with it. */
+    void terminated(WorkerIncarnation worker, List<RunKey> runs) {
+        lastingWaits.gone(worker, nowMillis);
+        for (RunKey run : runs) {
+            recordLastingEnd(run);
+            memberGone(run, true);
+        }
+    }
+
+    private void recordLastingEnd(RunKey run) {
+        if (step(run.task()).lasting()) {
+            lastingWaits.ended(run, nowMillis);
+        }
     }
 
     private void memberGone(RunKey run, boolean breaks) {
@@ -805,7 +997,11 @@
         for (ModelWorker worker : workers) {
             for (ModelRun run : worker.running().values()) {
                 JobStep step = run.step();
-                if (drained(worker) && step.lasting() && !step.gang() && !step.bestEffort() && hasCapacityFor(step)) {
+                if (drained(worker)
+                        && step.lasting()
+                        && !step.gang()
+                        && !step.bestEffort()
+                        && hasCapacityFor(run.key().task(), step)) {
                     found.put(run.key() + " stays in a drained data centre", MAX_LASTING_WAIT_MILLIS);
                 }
             }
@@ -834,7 +1030,8 @@
     private void findWaitingTasks(JobRecord job, int occurrence, Set<TaskKey> running, Map<String, Long> found) {
         for (int position = 0; position < job.submission().steps().size(); position++) {
             JobStep step = job.submission().steps().get(position);
-            if (job.ready(occurrence, position) && !step.bestEffort() && hasCapacityFor(step)) {
+            TaskKey first = new TaskKey(job.id(), occurrence, position, 0);
+            if (job.ready(occurrence, position) && !step.bestEffort() && hasCapacityFor(first, step)) {
                 findWaitingTasks(job, occurrence, position, running, found);
             }
         }
@@ -853,8 +1050,11 @@
         }
     }
 
-    /** Returns whether there is capacity twice over; for finite tasks, also whether half of all capacity is free. */
-    private boolean hasCapacityFor(JobStep step) {
+    /**
+     * Returns whether there is capacity twice over for the tasks of a step, one of which is given; for finite tasks,
+     * also whether half of all capacity is free.
+     */
+    private boolean hasCapacityFor(TaskKey task, JobStep step) {
         long tasks = 0;
         long free = 0;
         long total = 0;
@@ -867,7 +1067,7 @@
                 free += worker.freeMillicores();
             }
             if (worker.up() && !worker.leaving()) {
-                tasks += worker.freeMillicores() / step.need().millicores();
+                tasks += worker.placesFor(task, step);
             }
         }
         boolean twice = tasks >= 2L * (step.gang() ? step.count() : 1);
@@ -901,7 +1101,7 @@
 
     private final class Host {
         private final String id;
-        private final JobScheduler scheduler = JobScheduler.of(table, TIMES, service -> true, new SilentListener());
+        private JobScheduler scheduler = newScheduler();
         private final Map<WorkerId, Held> held = new LinkedHashMap<>();
         private long epoch = NO_EPOCH;
         private boolean committing;
@@ -909,6 +1109,17 @@
         Host(String id) {
             this.id = id;
         }
+
+        private JobScheduler newScheduler() {
+            return JobScheduler.of(table, TIMES, service -> true, new SilentListener());
+        }
+
+        void restart() {
+            scheduler = newScheduler();
+            epoch = NO_EPOCH;
+            held.values().forEach(each -> each.reply.accept(Optional.empty()));
+            held.clear();
+        }
     }
 
     private final class Held {
--- a/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/ModelWorker.java
+++ b/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/ModelWorker.java
@@ -28,6 +28,7 @@
     private final ModelFleet fleet;
     private final String address;
     private final DataCentreId dataCentre;
+    private final Set<String> labels;
     private final double clockRate;
     private final Map<RunKey, ModelRun> running = new LinkedHashMap<>();
     private final List<ModelEnd> ends = new ArrayList<>();
@@ -51,6 +52,7 @@
         this.fleet = fleet;
         this.address = "w" + number;
         this.dataCentre = fleet.dataCentre(number);
+        this.labels = fleet.labels(number);
         this.clockRate = 1 + 0.02 * fleet.random().nextDouble();
         this.incarnation = JobFixtures.incarnation(address, fleet.nowMillis());
     }
@@ -91,6 +93,33 @@
                         .sum();
     }
 
+    long freeMemory() {
+        return MEMORY
+                - running.values().stream()
+                        .mapToLong(run -> run.step.need().memoryBytes())
+                        .sum();
+    }
+
+    /** Returns the number of further tasks of a step, one of whose tasks is given, for which there is capacity. */
+    long placesFor(TaskKey task, JobStep step) {
+        if (!step.requiredLabel().isEmpty() && !labels.contains(step.requiredLabel())) {
+            return 0;
+        }
+        long places = Math.min(
+                freeMillicores() / step.need().millicores(),
+                freeMemory() / step.need().memoryBytes());
+        if (step.maxPerWorker() == 0) {
+            return places;
+        }
+        long sameStep = running.keySet().stream()
+                .map(RunKey::task)
+                .filter(other -> other.job().equals(task.job())
+                        && other.occurrence() == task.occurrence()
+                        && other.step() == task.step())
+                .count();
+        return Math.min(places, step.maxPerWorker() - sameStep);
+    }
+
     void start(boolean underTheSameId) {
         long born = Math.max(fleet.nowMillis(), incarnation.startedEpochMillis() + 1);
         String id = underTheSameId ? incarnation.worker().value() : address + "-" + born;
@@ -115,7 +144,7 @@
         running.clear();
         ends.clear();
         refusedUpTo.clear();
-        runs.forEach(fleet::memberGone);
+        fleet.terminated(incarnation, runs);
     }
 
     /** Announces that the worker leaves, and lets it leave after a time, with or without an acknowledgement. */
@@ -171,7 +200,7 @@
                 ServiceName.of("orders"),
                 address,
                 Resources.of(MILLICORES, MEMORY, 0),
-                Set.of(),
+                labels,
                 "",
                 leaving,
                 leaving ? Math.max(0, leavesAtMillis - sentMillis) : 0,
