--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TransitionPlanner.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TransitionPlanner.java
@@ -34,6 +34,7 @@
     private long begunPlannedNanos;
     private final Map<JobId, Long> endedNanos = new HashMap<>();
     private final Set<JobId> givenUp = new HashSet<>();
+    private final Set<WorkerIncarnation> reportedSilences = new HashSet<>();
 
     TransitionPlanner(SchedulerState state) {
         this.state = state;
@@ -42,6 +43,7 @@
 
     void takeOver(long now) {
         drainMoves.takeOver();
+        reportedSilences.clear();
         begunPlannedNanos = now;
         for (JobRecord job : state.table().all()) {
             if (job.state().ended()) {
@@ -181,19 +183,25 @@
 
     /** Records which workers have fallen silent, so that a later scheduler need not wait anew for their leases. */
     private void planSilences(List<JobTransition> plan, long now) {
-        Set<WorkerIncarnation> silences = state.table().silences().keySet();
+        reportedSilences.retainAll(state.table().silences().keySet());
         for (WorkerIncarnation worker : state.table().busyWorkers()) {
-            boolean silent = silent(worker, now);
-            if (silent == silences.contains(worker) || plan.size() >= MAX_TRANSITIONS) {
-                continue;
-            }
             Optional<WorkerEntry> entry = state.workers().find(worker);
-            if (!silent) {
-                state.events().workerReturned(worker);
-                plan.add(new JobTransition.Returned(worker));
-            } else if (!lost(worker, entry, now)) {
+            boolean known = state.table().silences().containsKey(worker);
+            boolean silent = entry.map(reported -> reported.silentFor(now, SILENCE_NANOS))
+                    .orElseGet(() -> now - state.takenOverNanos() > SILENCE_NANOS);
+            if (silent && !lost(worker, entry, now) && reportedSilences.add(worker)) {
                 reportSilence(worker, entry, now);
+            }
+            if (plan.size() >= MAX_TRANSITIONS || silent == known) {
+                continue;
+            }
+            if (silent) {
                 plan.add(new JobTransition.Silent(worker));
+            } else if (entry.isPresent()) {
+                if (reportedSilences.contains(worker)) {
+                    state.events().workerReturned(worker);
+                }
+                plan.add(new JobTransition.Returned(worker));
             }
         }
     }
@@ -204,14 +212,6 @@
         state.events().workerSilent(worker, runs, entry.isPresent(), TimeUnit.NANOSECONDS.toMillis(endNanos - now));
     }
 
-    private boolean silent(WorkerIncarnation worker, long now) {
-        return state.workers()
-                .find(worker)
-                .map(entry -> entry.silentFor(now, SILENCE_NANOS))
-                .orElseGet(() ->
-                        state.table().silences().containsKey(worker) || now - state.takenOverNanos() > SILENCE_NANOS);
-    }
-
     private String lossReason(WorkerIncarnation incarnation, Optional<WorkerEntry> entry) {
         boolean restarted =
                 entry.map(WorkerEntry::crashed).orElseGet(() -> state.workers().superseded(incarnation));
