--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobSection.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobSection.java
@@ -10,15 +10,12 @@
 import dev.waxwinghead.scheduling.job.JobRecord;
 import dev.waxwinghead.scheduling.job.JobState;
 import dev.waxwinghead.scheduling.job.JobTable;
-import dev.waxwinghead.scheduling.job.Silence;
 import dev.waxwinghead.scheduling.job.StepRecord;
 import dev.waxwinghead.scheduling.job.TaskKey;
 import dev.waxwinghead.scheduling.job.TaskRecord;
-import dev.waxwinghead.scheduling.job.WorkerIncarnation;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessageUnpacker;
 
@@ -69,7 +66,7 @@
                         packer,
                         table.latestDrainCommands().entrySet(),
                         (out, latest) -> out.packString(latest.getKey().value()).packLong(latest.getValue()));
-                MessagePackCodec.list(packer, table.silences().entrySet(), JobSection::packSilence);
+                MessagePackCodec.list(packer, table.silences().keySet(), JobCodec::packIncarnation);
             });
         }
     }
@@ -101,7 +98,7 @@
                     MessagePackCodec.list(unpacker, this::unpackLatestDrainCommand);
                 }
                 if (unpacker.hasNext()) {
-                    MessagePackCodec.list(unpacker, this::unpackSilence);
+                    MessagePackCodec.list(unpacker, JobCodec::unpackIncarnation).forEach(table::restoreSilence);
                 }
                 return epoch;
             });
@@ -109,18 +106,6 @@
         listener.run();
     }
 
-    private static void packSilence(MessageBufferPacker packer, Map.Entry<WorkerIncarnation, Silence> silence)
-            throws IOException {
-        JobCodec.packIncarnation(packer, silence.getKey());
-        packer.packBoolean(silence.getValue().byTakeover());
-    }
-
-    private WorkerIncarnation unpackSilence(MessageUnpacker unpacker) throws IOException {
-        WorkerIncarnation worker = JobCodec.unpackIncarnation(unpacker);
-        table.restoreSilence(worker, unpacker.unpackBoolean());
-        return worker;
-    }
-
     private DataCentreId unpackLatestDrainCommand(MessageUnpacker unpacker) throws IOException {
         DataCentreId dataCentre = DataCentreId.of(unpacker.unpackString());
         table.restoreLatestDrainCommand(dataCentre, unpacker.unpackLong());
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/JobTable.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/JobTable.java
@@ -38,7 +38,8 @@
     /** The number of the latest change of the runs on each worker with runs; no two changes have the same number. */
     private final Map<WorkerIncarnation, Long> runChanges = new HashMap<>();
 
-    private final Map<WorkerIncarnation, Silence> silences = new LinkedHashMap<>();
+    /** The silent workers, each with the number of the silence; no two silences have the same number. */
+    private final Map<WorkerIncarnation, Long> silences = new LinkedHashMap<>();
 
     private final Map<JobClassName, Integer> queued = new HashMap<>();
     /** Ordered, so that equal sets have equal snapshots. */
@@ -71,7 +72,6 @@
     public JobOutcome apply(long index, JobCommand command) {
         if (command instanceof JobCommand.Acquire) {
             epoch = index;
-            runs.keySet().forEach(worker -> recordSilence(worker, true));
             return JobOutcome.APPLIED;
         }
         if (command instanceof JobCommand.Accept accept) {
@@ -201,13 +201,12 @@
     }
 
     /**
-     * Returns the silent workers with live runs, whose leases no scheduler extends: those that no report to the acting
-     * scheduler is committed of, and those that {@link JobTransition.Silent} names.
+     * Returns the silent workers with live runs, whose leases no scheduler extends, see {@link JobTransition.Silent}.
      *
-     * @return the current silence of each of these workers; a live view
+     * @return the number of the current silence of each worker, which no other silence has; a live view
      * @since 0.3
      */
-    public Map<WorkerIncarnation, Silence> silences() {
+    public Map<WorkerIncarnation, Long> silences() {
         return Collections.unmodifiableMap(silences);
     }
 
@@ -276,7 +275,7 @@
             } else if (transition instanceof JobTransition.Begun begun) {
                 find(begun.job()).ifPresent(this::begin);
             } else if (transition instanceof JobTransition.Silent silent) {
-                recordSilence(silent.worker(), false);
+                recordSilence(silent.worker());
             } else if (transition instanceof JobTransition.Returned returned) {
                 silences.remove(returned.worker());
             } else if (transition instanceof JobTransition.Removed removed) {
@@ -286,9 +285,9 @@
         return JobOutcome.APPLIED;
     }
 
-    private void recordSilence(WorkerIncarnation worker, boolean byTakeover) {
+    private void recordSilence(WorkerIncarnation worker) {
         if (runs.containsKey(worker)) {
-            silences.putIfAbsent(worker, new Silence(++lastSilence, byTakeover));
+            silences.putIfAbsent(worker, ++lastSilence);
         }
     }
 
@@ -517,11 +516,10 @@
      * Restores that a worker is silent.
      *
      * @param worker the incarnation of a worker with restored live runs
-     * @param byTakeover whether the silence began with a take-over
      * @since 0.3
      */
-    public void restoreSilence(WorkerIncarnation worker, boolean byTakeover) {
-        recordSilence(worker, byTakeover);
+    public void restoreSilence(WorkerIncarnation worker) {
+        recordSilence(worker);
     }
 
     /**
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/JobTransition.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/JobTransition.java
@@ -49,8 +49,8 @@
 
     /**
      * Records that a worker has not reported for a while: the scheduler has not extended its lease since it planned
-     * this transition, and no scheduler does until {@link Returned} is applied. A take-over has the same effect for all
-     * workers with live runs. The transition has no effect if the worker has none.
+     * this transition, and no scheduler does until {@link Returned} is applied. The transition has no effect if the
+     * worker has no live runs.
      *
      * @param worker the worker's incarnation
      * @since 0.3
@@ -58,8 +58,8 @@
     record Silent(WorkerIncarnation worker) implements JobTransition {}
 
     /**
-     * Records that a silent worker has reported to the acting scheduler, so that its lease may be extended. The
-     * transition has no effect if the worker is not silent.
+     * Records that a silent worker has reported again, so that its lease may be extended. The transition has no effect
+     * if the worker is not silent.
      *
      * @param worker the worker's incarnation
      * @since 0.3
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/SchedulerState.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/SchedulerState.java
@@ -104,7 +104,6 @@
     /** Discards the reported state of workers, but keeps what was learned about images and failing workers. */
     void takeOver(long now) {
         takenOverNanos = now;
-        observeSilences(now);
         health.resetStarted();
         workers = new WorkerRegistry();
         endingRuns.clear();
@@ -127,16 +126,15 @@
      * host was the scheduler, so they end by this host's clock.
      */
     void observeSilences(long now) {
-        Map<WorkerIncarnation, Silence> silences = table.silences();
+        Map<WorkerIncarnation, Long> silences = table.silences();
         if (silences.isEmpty() && observedSilences.isEmpty()) {
             return;
         }
         observedSilences.keySet().retainAll(silences.keySet());
-        silences.forEach((worker, silence) -> {
+        silences.forEach((worker, number) -> {
             ObservedSilence known = observedSilences.get(worker);
-            if (known == null || !known.silence().equals(silence)) {
-                long boundNanos = silence.byTakeover() ? times.inheritedLeaseBoundNanos() : times.leaseBoundNanos();
-                observedSilences.put(worker, new ObservedSilence(silence, now + boundNanos));
+            if (known == null || known.number() != number) {
+                observedSilences.put(worker, new ObservedSilence(number, now));
             }
         });
     }
@@ -149,8 +147,8 @@
     /** Returns when the leases that earlier schedulers may have granted to a worker have certainly expired. */
     long inheritedLeaseEndNanos(WorkerIncarnation worker) {
         long endNanos = takenOverNanos + times.inheritedLeaseBoundNanos();
-        ObservedSilence observed = observedSilences.get(worker);
-        return observed == null ? endNanos : Math.min(endNanos, observed.leaseEndNanos());
+        ObservedSilence silence = observedSilences.get(worker);
+        return silence == null ? endNanos : Math.min(endNanos, silence.sinceNanos() + times.leaseBoundNanos());
     }
 
     /** Returns whether a run was started by an earlier scheduler. */
@@ -279,8 +277,8 @@
         return avoidedWorkers.getOrDefault(task, Set.of());
     }
 
-    /** A silence, and when by this host's clock the worker's leases have certainly expired. */
-    private record ObservedSilence(Silence silence, long leaseEndNanos) {}
+    /** A silence by its number, see {@link JobTable#silences}, and when this host has learned of it. */
+    private record ObservedSilence(long number, long sinceNanos) {}
 
     /** Bounds the share of a service's workers that are quarantined at a time, and reports quarantines. */
     private final class Quarantines implements QuarantineControl {
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TransitionPlanner.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TransitionPlanner.java
@@ -34,7 +34,6 @@
     private long begunPlannedNanos;
     private final Map<JobId, Long> endedNanos = new HashMap<>();
     private final Set<JobId> givenUp = new HashSet<>();
-    private final Set<WorkerIncarnation> reportedSilences = new HashSet<>();
 
     TransitionPlanner(SchedulerState state) {
         this.state = state;
@@ -43,7 +42,6 @@
 
     void takeOver(long now) {
         drainMoves.takeOver();
-        reportedSilences.clear();
         begunPlannedNanos = now;
         for (JobRecord job : state.table().all()) {
             if (job.state().ended()) {
@@ -183,25 +181,19 @@
 
     /** Records which workers have fallen silent, so that a later scheduler need not wait anew for their leases. */
     private void planSilences(List<JobTransition> plan, long now) {
-        reportedSilences.retainAll(state.table().silences().keySet());
+        Set<WorkerIncarnation> silences = state.table().silences().keySet();
         for (WorkerIncarnation worker : state.table().busyWorkers()) {
-            Optional<WorkerEntry> entry = state.workers().find(worker);
-            boolean known = state.table().silences().containsKey(worker);
-            boolean silent = entry.map(reported -> reported.silentFor(now, SILENCE_NANOS))
-                    .orElseGet(() -> now - state.takenOverNanos() > SILENCE_NANOS);
-            if (silent && !lost(worker, entry, now) && reportedSilences.add(worker)) {
-                reportSilence(worker, entry, now);
-            }
-            if (plan.size() >= MAX_TRANSITIONS || silent == known) {
+            boolean silent = silent(worker, now);
+            if (silent == silences.contains(worker) || plan.size() >= MAX_TRANSITIONS) {
                 continue;
             }
-            if (silent) {
-                plan.add(new JobTransition.Silent(worker));
-            } else if (entry.isPresent()) {
-                if (reportedSilences.contains(worker)) {
-                    state.events().workerReturned(worker);
-                }
+            Optional<WorkerEntry> entry = state.workers().find(worker);
+            if (!silent) {
+                state.events().workerReturned(worker);
                 plan.add(new JobTransition.Returned(worker));
+            } else if (!lost(worker, entry, now)) {
+                reportSilence(worker, entry, now);
+                plan.add(new JobTransition.Silent(worker));
             }
         }
     }
@@ -212,6 +204,14 @@
         state.events().workerSilent(worker, runs, entry.isPresent(), TimeUnit.NANOSECONDS.toMillis(endNanos - now));
     }
 
+    private boolean silent(WorkerIncarnation worker, long now) {
+        return state.workers()
+                .find(worker)
+                .map(entry -> entry.silentFor(now, SILENCE_NANOS))
+                .orElseGet(() ->
+                        state.table().silences().containsKey(worker) || now - state.takenOverNanos() > SILENCE_NANOS);
+    }
+
     private String lossReason(WorkerIncarnation incarnation, Optional<WorkerEntry> entry) {
         boolean restarted =
                 entry.map(WorkerEntry::crashed).orElseGet(() -> state.workers().superseded(incarnation));
