Place no task again before the end of its last attempt is settled

A task whose worker was lost was not started again on an idle worker for as long as the scheduler's term lasted. Found by reading; seen in DataCentreSchedulerTests.Restarts.

The table may show the end of an attempt before the proposal of that end is settled. A tick in between placed the task: it committed resources and counted a trial on the new worker, but the outbox, which holds one transition per task, ignored the start. Once the end was settled the task was queued again, while the trial stayed. Five such trials close an unproven worker for good, since neither a success nor a failure can end them.

In the same window the task was queued before its retry delay was set. Its next start was not delayed, and the delay held back the start after that, also if the worker of that attempt was lost: by up to 64 s.

A task with a pending transition now keeps its commitments and is queued when the transition is settled. The retry delay thereby takes effect; it counts from the last start, so that a task that fails after a long run starts at once however often it has failed before.

Before the fix the tests failed with 0 tasks running on the idle worker where 5 were due, 0 where 1 was due 5 s after the loss of a worker, and 2 starts in the first second of a task that fails at once where 1 was due; the test of the long run passed. After it DataCentreSchedulerTests, DataCentreDrainTests and the 3,000 histories of TaskHistoryTests pass.

--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/task/Commitments.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/task/Commitments.java
@@ -82,9 +82,10 @@
         return byTask.get(task).workload;
     }
 
-    /** Returns when the attempt of a task was committed, in nanoseconds. */
-    long sinceNanos(TaskId task) {
-        return byTask.get(task).sinceNanos;
+    /** Returns when the attempt of a task was committed, in nanoseconds; the current time if there is none. */
+    long sinceNanos(TaskId task, long now) {
+        Commitment commitment = byTask.get(task);
+        return commitment == null ? now : commitment.sinceNanos;
     }
 
     private Map<TaskId, Commitment> commitmentsOn(WorkerId worker) {
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/task/DataCentreScheduler.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/task/DataCentreScheduler.java
@@ -123,17 +123,18 @@
     }
 
     /**
-     * Updates the state derived from a task after the record of that task may have changed.
+     * Updates the state derived from a task after the record of that task may have changed. A task with a pending
+     * transition keeps its commitments and is not placed until the transition is settled.
      *
      * @param id the task
      */
     public void refreshTask(TaskId id) {
         TaskRecord task = table.task(id).orElse(null);
         OwnerRecord owner = task == null ? null : table.owner(task.owner()).orElse(null);
-        boolean startPending = outbox.pending(id) instanceof Transition.Start;
+        boolean pending = outbox.contains(id);
         if (owner != null && task.attempt() != null) {
             quotas.hold(id, owner.team(), task.attempt().resources());
-        } else if (!startPending) {
+        } else if (!pending) {
             quotas.release(id);
         }
         if (owner == null || !dataCentre.equals(task.dataCentre())) {
@@ -144,10 +145,10 @@
         if (task.attempt() != null) {
             Attempt live = task.attempt();
             commitments.put(id, live.number(), live.worker(), workload(owner), live.resources(), lastNanos);
-        } else if (!startPending) {
+        } else if (!pending) {
             commitments.remove(id, lastNanos);
         }
-        if (task.state() == TaskState.WAITING && !startPending) {
+        if (task.state() == TaskState.WAITING && !pending) {
             queue.add(task, owner);
         } else {
             queue.remove(id);
@@ -342,13 +343,17 @@
         }
     }
 
+    /** Delays the next start of a failed task. The delay counts from the last start, so a long run is not delayed. */
     private void delayRetry(Transition transition, long now) {
         boolean failed = transition instanceof Transition.Report report
                 && (report.kind() == Transition.Kind.FAILED || report.kind() == Transition.Kind.COMPLETED);
         TaskRecord task = failed ? table.task(transition.task()).orElse(null) : null;
         if (task != null && task.state() == TaskState.WAITING) {
             int doublings = Math.min(Math.max(0, task.failures() - 1), MAX_RETRY_DOUBLINGS);
-            queue.delay(task.id(), now + (INITIAL_RETRY_DELAY_NANOS << doublings));
+            long until = commitments.sinceNanos(task.id(), now) + (INITIAL_RETRY_DELAY_NANOS << doublings);
+            if (until - now > 0) {
+                queue.delay(task.id(), until);
+            }
         }
     }
 
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/task/Preemption.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/task/Preemption.java
@@ -107,7 +107,7 @@
     }
 
     private Victim victim(TaskRecord task, OwnerRecord owner, long now) {
-        long lost = task.checkpoint() == null ? now - commitments.sinceNanos(task.id()) : 0;
+        long lost = task.checkpoint() == null ? now - commitments.sinceNanos(task.id(), now) : 0;
         return new Victim(
                 task.id(),
                 task.attempt().resources(),
--- a/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/task/DataCentreSchedulerTests.java
+++ b/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/task/DataCentreSchedulerTests.java
@@ -9,7 +9,9 @@
 import dev.waxwinghead.model.resource.Resources;
 import java.util.List;
 import java.util.Map;
+import java.util.function.BooleanSupplier;
 import java.util.stream.IntStream;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -82,6 +84,91 @@
         }
     }
 
+    @Nested
+    class Restarts {
+        private final SchedulerFixture.FakeWorker one = fixture.worker("w1", 1_000);
+        private final SchedulerFixture.FakeWorker two = fixture.worker("w2", 1_000);
+
+        @BeforeEach
+        void runForever() {
+            one.runsForever = true;
+            two.runsForever = true;
+        }
+
+        @Test
+        void startsTheTasksOfALostWorkerElsewhereThoughItTicksBeforeTheLossIsSettled() {
+            two.millicores = 0;
+            fixture.declare(SchedulerFixture.job("long", "team", 5, 200, false));
+            fixture.advance(3);
+            assertThat(one.running()).isEqualTo(5);
+            two.millicores = 1_000;
+            fixture.advance(0.2);
+
+            one.silent = true;
+            fixture.ticksBeforeSettling = true;
+            fixture.advance(5);
+
+            assertThat(two.running()).isEqualTo(5);
+        }
+
+        @Test
+        void startsATaskOfALostWorkerElsewhereThoughItFailedBeforeItsLastStart() {
+            one.failing.put("long", true);
+            two.failing.put("long", true);
+            fixture.declare(SchedulerFixture.job("long", "team", 1, 200, false));
+            advanceUntil(() -> failures() == 5);
+            one.failing.clear();
+            two.failing.clear();
+            advanceUntil(() -> one.running() + two.running() == 1);
+
+            SchedulerFixture.FakeWorker lost = one.running() == 1 ? one : two;
+            lost.silent = true;
+            fixture.advance(5);
+
+            assertThat((lost == one ? two : one).running()).isEqualTo(1);
+        }
+
+        @Test
+        void delaysATaskThatFailsSoonAfterEachStart() {
+            one.failing.put("broken", true);
+            two.failing.put("broken", true);
+            fixture.declare(SchedulerFixture.job("broken", "team", 1, 200, false));
+
+            fixture.advance(1);
+            assertThat(one.starts.size() + two.starts.size()).isEqualTo(1);
+            fixture.advance(9);
+            assertThat(one.starts.size() + two.starts.size()).isEqualTo(4);
+        }
+
+        @Test
+        void startsATaskAtOnceThatFailsAfterALongRun() {
+            one.failing.put("long", true);
+            two.failing.put("long", true);
+            fixture.declare(SchedulerFixture.job("long", "team", 1, 200, false));
+            advanceUntil(() -> failures() == 6);
+            one.failing.clear();
+            two.failing.clear();
+            advanceUntil(() -> one.running() + two.running() == 1);
+            fixture.advance(65);
+
+            (one.running() == 1 ? one : two).failAll();
+            fixture.advance(1);
+
+            assertThat(one.running() + two.running()).isEqualTo(1);
+        }
+
+        private int failures() {
+            return fixture.table.tasks().iterator().next().failures();
+        }
+
+        private void advanceUntil(BooleanSupplier condition) {
+            for (int i = 0; i < 1_000 && !condition.getAsBoolean(); i++) {
+                fixture.advance(0.1);
+            }
+            assertThat(condition.getAsBoolean()).isTrue();
+        }
+    }
+
     @Nested
     class Cancellation {
         @Test
--- a/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/task/SchedulerFixture.java
+++ b/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/task/SchedulerFixture.java
@@ -30,6 +30,7 @@
     final TaskTable table = TaskTable.create();
     final DataCentreScheduler scheduler;
     final Map<String, FakeWorker> workers = new TreeMap<>();
+    boolean ticksBeforeSettling;
     private final List<TaskId> changedTasks = new ArrayList<>();
     private long index;
     private long now;
@@ -85,13 +86,15 @@
         return workers.computeIfAbsent(name, key -> new FakeWorker(key, millicores));
     }
 
-    /** Advances the time in steps of 100 ms; all workers poll once per step. */
+    /** Advances the time in steps of 100 ms; all workers that are not silent poll once per step. */
     void advance(double seconds) {
         for (int i = 0; i < seconds * 10; i++) {
             now += SECOND / 10;
             scheduler.extendAuthority(now);
             for (FakeWorker worker : workers.values()) {
-                worker.poll();
+                if (!worker.silent) {
+                    worker.poll();
+                }
                 applyTransitions();
             }
             scheduler.tick(now);
@@ -110,6 +113,9 @@
         for (List<Transition> batch = nextBatch(); !batch.isEmpty(); batch = nextBatch()) {
             apply(new TaskCommand.Transitions(SchedulerSimulation.DATA_CENTRE, scheduler.term(), batch));
             refresh();
+            if (ticksBeforeSettling) {
+                scheduler.tick(now);
+            }
             scheduler.settle(batch, now);
         }
     }
@@ -133,6 +139,7 @@
         long millicores;
         boolean failsAll;
         boolean runsForever;
+        boolean silent;
         private final WorkerId id;
         private final Map<TaskId, Long> endsAt = new HashMap<>();
         private long sequence;
@@ -148,6 +155,10 @@
                     .count();
         }
 
+        void failAll() {
+            tasks.keySet().forEach(task -> end(task, PollReport.Phase.FAILED));
+        }
+
         private void poll() {
             if (!runsForever) {
                 endsAt.forEach((task, end) -> {
