Take tasks back from a data centre whose term was released for good

Tasks that ran in a data centre whose last entry host had shut down gracefully were never started elsewhere, although their workers had lost their leases. After a kill of that host they were.

DataCentreFailureDetector revoked only terms that a host holds, since the term is vacant after a revocation. It is vacant after a release as well, and a release leaves the attempts live for the successor. Without a successor nobody ended them.

A vacant term is now revoked too, after the same wait, if an attempt is still live there. A release ends the holder's authority, so the leases of the term end at the latest as after its last renewal, and a revocation is refused if another host has acquired the term. Once no attempt is live none can become live in a vacant term, so the tasks are examined once.

--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/tasks/DataCentreFailureDetector.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/tasks/DataCentreFailureDetector.java
@@ -11,7 +11,8 @@
 import java.util.Map;
 
 /**
- * Detects data centres whose scheduler has not renewed its term for so long that none of their tasks can be running.
+ * Detects data centres whose scheduler has not renewed its term, or has released it without a successor, for so long
+ * that none of their tasks can be running.
  *
  * <p>A scheduler's lease counts from when the scheduler sent its last renewal. This host counts from when it observed
  * that renewal applied, which is later, so this host revokes a term only after the term's lease has ended.
@@ -28,23 +29,41 @@
         for (SchedulerTerm term : table.schedulers()) {
             Observation previous = lastObservations.get(term.dataCentre());
             if (previous == null || !previous.term().equals(term)) {
-                lastObservations.put(term.dataCentre(), new Observation(term, now));
+                lastObservations.put(term.dataCentre(), new Observation(term, now, false));
             }
         }
     }
 
     List<TaskCommand> revocations(long now) {
         List<TaskCommand> commands = new ArrayList<>();
-        lastObservations.values().forEach(last -> {
-            if (last.term().host() != null && now - last.sinceNanos() >= LeaseDurations.termExpiryNanos(last.term())) {
-                commands.add(new TaskCommand.Revoke(
-                        last.term().dataCentre(),
-                        last.term().term(),
-                        last.term().renewals()));
+        lastObservations.replaceAll((dataCentre, last) -> {
+            if (last.ended() || now - last.sinceNanos() < LeaseDurations.termExpiryNanos(last.term())) {
+                return last;
             }
+            if (last.term().host() == null && !hasLiveTasks(dataCentre)) {
+                return last.asEnded();
+            }
+            commands.add(new TaskCommand.Revoke(
+                    dataCentre, last.term().term(), last.term().renewals()));
+            return last;
         });
         return commands;
     }
 
-    private record Observation(SchedulerTerm term, long sinceNanos) {}
+    private boolean hasLiveTasks(DataCentreId dataCentre) {
+        return table.tasks().stream().anyMatch(task -> task.state().live() && dataCentre.equals(task.dataCentre()));
+    }
+
+    /**
+     * The last change of a term.
+     *
+     * @param term the term
+     * @param sinceNanos when this host observed the change, in nanoseconds
+     * @param ended whether nobody holds the term and no attempt is live, so that none becomes live in this term
+     */
+    private record Observation(SchedulerTerm term, long sinceNanos, boolean ended) {
+        Observation asEnded() {
+            return new Observation(term, sinceNanos, true);
+        }
+    }
 }
--- a/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/tasks/TasksPartTests.java
+++ b/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/tasks/TasksPartTests.java
@@ -6,6 +6,8 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import dev.waxwinghead.model.lifecycle.Closer;
 import dev.waxwinghead.model.manifest.Manifests;
+import dev.waxwinghead.model.time.Deadline;
+import dev.waxwinghead.model.time.Ticker;
 import java.io.IOException;
 import java.net.URI;
 import java.net.http.HttpClient;
@@ -125,6 +127,22 @@
         assertThat(worker.starts).hasSize(6);
     }
 
+    @Test
+    void movesTasksOfADataCentreWhoseOnlyHostReleasedItsTermAndEnded() {
+        FakeCluster.Host third = cluster.addHost("e3", "dc2", SHORT_LEASE);
+        FakeWorker lost = closer.register(new FakeWorker("w1", "dc2", third.workers.address()));
+        cluster.apply(SERVICE);
+        await("both replicas run", () -> lost.runs("service/quotes/0") && lost.runs("service/quotes/1"));
+
+        third.part.drain(Deadline.after(Duration.ofSeconds(1), Ticker.system())).join();
+        third.kill();
+        FakeWorker next = worker("w2");
+
+        await(
+                "both replicas run in the other data centre",
+                () -> next.runs("service/quotes/0") && next.runs("service/quotes/1"));
+    }
+
     @Test
     void movesTasksOfASilentWorkerOnceItsLeaseHasExpired() {
         FakeWorker one = worker("w1");
