Complete proposals of the scheduler after the pool rejected the completion

While the pool is full, the completion of a proposal of ActingScheduler was dropped: whenCompleteAsync reports the rejection to the next stage, which ignored it. The proposal then counted as pending for good. After an acquisition the host never acted in its data centre; after a renewal the term was not renewed any more, so that its leases lapsed and its tasks were stopped, term after term; after transitions, no start or end was proposed until another term.

Rejected actions now run with the next tick, which is retried until the pool accepts it.

--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/tasks/ActingScheduler.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/tasks/ActingScheduler.java
@@ -28,6 +28,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.function.Function;
 import java.util.stream.Collectors;
 import org.jboss.logging.Logger;
@@ -51,6 +52,7 @@
     private final LearnedCostModel learning = LearnedCostModel.create();
     private final String address;
     private final ConcurrentLinkedQueue<TaskId> changedTasks = new ConcurrentLinkedQueue<>();
+    private final ConcurrentLinkedQueue<Runnable> rejectedActions = new ConcurrentLinkedQueue<>();
     private volatile boolean recordingChanges;
     private DataCentreScheduler scheduler;
     private boolean acquiring;
@@ -82,7 +84,7 @@
     /** Drops the scheduler after the table was restored from a snapshot. Called on the thread that applies the log. */
     void tableRestored() {
         recordingChanges = false;
-        context.pool().execute(this::stepDown);
+        execute(this::stepDown);
     }
 
     /** Answers a worker's poll, or refers the worker to the acting scheduler if this host does not act. */
@@ -100,6 +102,9 @@
 
     /** Acquires or renews the term if due, and advances the scheduler to the current time. */
     synchronized void tick() {
+        for (Runnable action = rejectedActions.poll(); action != null; action = rejectedActions.poll()) {
+            action.run();
+        }
         election.observe(ticker.nanos());
         if (current().isEmpty()) {
             acquireIfDue();
@@ -146,6 +151,15 @@
                 .handle((result, failure) -> null);
     }
 
+    /** Runs an action on the pool, or with the next tick if the pool is full. */
+    private void execute(Runnable action) {
+        try {
+            context.pool().execute(action);
+        } catch (RejectedExecutionException e) {
+            rejectedActions.add(action);
+        }
+    }
+
     private Optional<DataCentreScheduler> current() {
         if (scheduler == null) {
             return Optional.empty();
@@ -199,7 +213,7 @@
                 context.dataCentre(), context.self(), address, election.expectedTerm(), times.maxLeaseMillis());
         proposals
                 .propose(command)
-                .whenCompleteAsync((result, failure) -> completeAcquisition(result, sent), context.pool())
+                .whenComplete((result, failure) -> execute(() -> completeAcquisition(result, sent)))
                 .exceptionally(failure -> null);
     }
 
@@ -231,7 +245,7 @@
         DataCentreScheduler renewed = scheduler;
         proposals
                 .propose(new TaskCommand.Renew(context.dataCentre(), renewed.term()))
-                .whenCompleteAsync((result, failure) -> completeRenewal(renewed, result, now), context.pool())
+                .whenComplete((result, failure) -> execute(() -> completeRenewal(renewed, result, now)))
                 .exceptionally(failure -> null);
     }
 
@@ -255,7 +269,7 @@
         DataCentreScheduler proposer = scheduler;
         proposals
                 .propose(new TaskCommand.Transitions(context.dataCentre(), proposer.term(), batch))
-                .whenCompleteAsync((result, failure) -> completeProposal(proposer, batch, failure), context.pool())
+                .whenComplete((result, failure) -> execute(() -> completeProposal(proposer, batch, failure)))
                 .exceptionally(failure -> null);
     }
 
--- a/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/tasks/FakeCluster.java
+++ b/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/tasks/FakeCluster.java
@@ -23,6 +23,7 @@
 import dev.waxwinghead.model.manifest.Manifests;
 import dev.waxwinghead.model.time.Deadline;
 import dev.waxwinghead.model.time.Ticker;
+import dev.waxwinghead.scheduling.task.TaskCommand;
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -42,6 +43,7 @@
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 
 /** Runs the task parts of several hosts over a shared in-memory log. */
 final class FakeCluster implements AutoCloseable {
@@ -50,6 +52,7 @@
     private final ExecutorService pool = Executors.newCachedThreadPool();
     private final ScheduledExecutorService timer = Executors.newScheduledThreadPool(2);
     private volatile boolean poolFull;
+    private volatile Predicate<TaskCommand> fillsPool = command -> false;
     private final TreeMap<ManifestKey, Configuration.Entry> entries = new TreeMap<>();
     private volatile Configuration configuration = new Configuration(0, new TreeMap<>());
     private long index;
@@ -64,6 +67,15 @@
         poolFull = full;
     }
 
+    /** Makes the pool reject actions from the next proposal of a matching command on. */
+    void fillPoolAfter(Predicate<TaskCommand> command) {
+        fillsPool = command;
+    }
+
+    boolean poolFull() {
+        return poolFull;
+    }
+
     private void executeOnPool(Runnable action) {
         if (poolFull) {
             throw new RejectedExecutionException("the pool is full");
@@ -181,6 +193,10 @@
                     byte[] result = host.isolated ? null : host.section().apply(index, command);
                     own = host == this ? result : own;
                 }
+                if (fillsPool.test(CommandCodec.read(command))) {
+                    fillsPool = next -> false;
+                    poolFull = true;
+                }
                 return CompletableFuture.completedFuture(own);
             }
         }
--- a/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/tasks/TasksPartTests.java
+++ b/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/tasks/TasksPartTests.java
@@ -4,10 +4,12 @@
 import static org.junit.jupiter.api.Assertions.fail;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import dev.waxwinghead.model.id.DataCentreId;
 import dev.waxwinghead.model.lifecycle.Closer;
 import dev.waxwinghead.model.manifest.Manifests;
 import dev.waxwinghead.model.time.Deadline;
 import dev.waxwinghead.model.time.Ticker;
+import dev.waxwinghead.scheduling.task.TaskCommand;
 import java.io.IOException;
 import java.net.URI;
 import java.net.http.HttpClient;
@@ -18,6 +20,8 @@
 import java.util.function.BooleanSupplier;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class TasksPartTests {
     private static final long TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(20);
@@ -74,6 +78,26 @@
         await("the job completes", () -> jobState("nightly").equals("completed"));
     }
 
+    @ParameterizedTest
+    @ValueSource(classes = {TaskCommand.Acquire.class, TaskCommand.Renew.class, TaskCommand.Transitions.class})
+    void keepsSchedulingAfterThePoolWasFullWhenAProposalCompleted(Class<? extends TaskCommand> type) {
+        await("a host acts in the first data centre", () -> acts(first) || acts(second));
+        cluster.fillPoolAfter(command -> type.isInstance(command) && concerns(DataCentreId.of("dc2"), command));
+        FakeCluster.Host third = cluster.addHost("e3", "dc2", LONG_LEASE);
+        FakeWorker worker = closer.register(new FakeWorker("w1", "dc2", third.workers.address()));
+        cluster.apply(SERVICE);
+        await("the pool is full", cluster::poolFull);
+        pause(200);
+        cluster.setPoolFull(false);
+        await("both replicas run", () -> worker.starts.size() == 2);
+        pause(2_000);
+
+        cluster.apply(JOB.replace("400", "50"));
+        await("the job completes", () -> jobState("nightly").equals("completed"));
+
+        assertThat(worker.starts).hasSize(6);
+    }
+
     @Test
     void reportsAJobThatFitsNoWorkerAndRunsTheNextJob() {
         worker("w1");
@@ -198,6 +222,18 @@
         return closer.register(new FakeWorker(id, "dc1", first.workers.address(), second.workers.address()));
     }
 
+    private static boolean concerns(DataCentreId dataCentre, TaskCommand command) {
+        DataCentreId concerned = null;
+        if (command instanceof TaskCommand.Acquire acquire) {
+            concerned = acquire.dataCentre();
+        } else if (command instanceof TaskCommand.Renew renew) {
+            concerned = renew.dataCentre();
+        } else if (command instanceof TaskCommand.Transitions transitions) {
+            concerned = transitions.dataCentre();
+        }
+        return dataCentre.equals(concerned);
+    }
+
     private static boolean acts(FakeCluster.Host host) {
         return !host.part.status().get("schedulerTerm").equals(0L);
     }
