Keep the known leases when a host succeeds itself as scheduler

A task whose worker was gone stayed live until the longest lease of an earlier term had certainly expired, counted from the last acquisition. That is 73.5 s with the default settings, where 10.5 s after the worker's last poll would do. A host acquires a new term for its own data centre after each proposal with an unknown outcome, as after a change of the log's leader, so that each such change started the wait anew.

Cause: the scheduler of the new term knew nothing of the leases that its predecessor had granted, although the predecessor had run in the same process.

If the new term directly follows a term of the same process, the scheduler now takes over when the leases of each worker end: the last grant for a worker that had confirmed the previous term, else the later of that and the end of the leases of the terms before. For workers that did not poll in the previous term the earlier wait goes on. After a change of the host the wait still starts anew: the other host may have answered the worker, and nothing in the table tells whether it did.

Without the knowledge of the predecessor the test failed with 0 tasks running where 1 was due, 5 s after the worker's last poll and 1 s after the fourth new term. The hosts of TaskHistoryTests succeed themselves in the same way, and its 3,000 histories pass; with leases taken as expired at the succession, all six blocks fail with a task that runs twice. No test reaches the succession through ActingScheduler.

--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/tasks/ActingScheduler.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/tasks/ActingScheduler.java
@@ -55,6 +55,9 @@
     private final ConcurrentLinkedQueue<Runnable> rejectedActions = new ConcurrentLinkedQueue<>();
     private volatile boolean recordingChanges;
     private DataCentreScheduler scheduler;
+    /** The scheduler of the newest term that this host has held, also after it has stepped down. */
+    private DataCentreScheduler latest;
+
     private boolean acquiring;
     private boolean renewing;
     private boolean proposing;
@@ -213,11 +216,12 @@
                 context.dataCentre(), context.self(), address, election.expectedTerm(), times.maxLeaseMillis());
         proposals
                 .propose(command)
-                .whenComplete((result, failure) -> execute(() -> completeAcquisition(result, sent)))
+                .whenComplete(
+                        (result, failure) -> execute(() -> completeAcquisition(result, command.expectedTerm(), sent)))
                 .exceptionally(failure -> null);
     }
 
-    private synchronized void completeAcquisition(CommandResult result, long sent) {
+    private synchronized void completeAcquisition(CommandResult result, long expectedTerm, long sent) {
         acquiring = false;
         if (result == null || !result.accepted() || draining) {
             return;
@@ -231,8 +235,11 @@
         outcomeUnknown = false;
         proposing = false;
         policyRevision = 0;
-        scheduler = DataCentreScheduler.create(
-                term, table, times, WorkerScore.byCost(learning), learning, sent, ticker.nanos());
+        WorkerScore score = WorkerScore.byCost(learning);
+        scheduler = latest != null && latest.term() == expectedTerm
+                ? latest.succeed(term, score, learning, sent, ticker.nanos())
+                : DataCentreScheduler.create(term, table, times, score, learning, sent, ticker.nanos());
+        latest = scheduler;
         LOG.infof("acting as scheduler of %s in term %d", context.dataCentre(), result.term());
     }
 
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/task/DataCentreScheduler.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/task/DataCentreScheduler.java
@@ -33,7 +33,7 @@
     private final long term;
     private final TaskTable table;
     private final LeaseDurations times;
-    private final long predecessorLeasesExpireNanos;
+    private final EarlierLeases earlierLeases;
     private final PlacementIndex index;
     private final Commitments commitments;
     private final WaitingQueue queue = new WaitingQueue();
@@ -50,6 +50,7 @@
             SchedulerTerm term,
             TaskTable table,
             LeaseDurations times,
+            EarlierLeases earlierLeases,
             WorkerScore score,
             LearnedCostModel learning,
             long sentNanos,
@@ -60,7 +61,7 @@
         learning.resetHistory();
         this.table = table;
         this.times = times;
-        this.predecessorLeasesExpireNanos = now + LeaseDurations.termExpiryNanos(term);
+        this.earlierLeases = earlierLeases;
         this.index = PlacementIndex.create(score);
         this.commitments = new Commitments(index, learning);
         this.pollHandler = new PollHandler(
@@ -91,7 +92,28 @@
             LearnedCostModel learning,
             long sentNanos,
             long now) {
-        return new DataCentreScheduler(term, table, times, score, learning, sentNanos, now);
+        EarlierLeases earlierLeases = EarlierLeases.unknown(now + LeaseDurations.termExpiryNanos(term));
+        return new DataCentreScheduler(term, table, times, earlierLeases, score, learning, sentNanos, now);
+    }
+
+    /**
+     * Creates the scheduler of a term that the same host has acquired directly after the term of this scheduler. The
+     * new scheduler knows which leases this one has granted, so it need not wait for other leases of this term. This
+     * scheduler must not be used any more.
+     *
+     * @param next the new term
+     * @param score the score that ranks workers
+     * @param learning the model that learns from measurements
+     * @param sentNanos when the request for the new term was sent
+     * @param now the current time, of the clock that this scheduler has used
+     * @return the new scheduler, never null
+     */
+    public DataCentreScheduler succeed(
+            SchedulerTerm next, WorkerScore score, LearnedCostModel learning, long sentNanos, long now) {
+        Map<WorkerId, Long> expiries = new HashMap<>();
+        workers.forEach((id, entry) -> expiries.put(id, leasesExpireNanos(id, entry)));
+        return new DataCentreScheduler(
+                next, table, times, earlierLeases.with(expiries), score, learning, sentNanos, now);
     }
 
     /**
@@ -301,16 +323,22 @@
         }
     }
 
+    /** Returns whether a worker has certainly stopped its tasks. */
+    private boolean hasCertainlyStopped(WorkerId worker, long now) {
+        return now - leasesExpireNanos(worker, workers.get(worker)) >= 0;
+    }
+
     /**
-     * Returns whether a worker has certainly stopped its tasks. A worker that has confirmed this term has no lease of
-     * another term; any other worker may still have a lease of the previous term.
+     * Returns when all leases of a worker have certainly expired. A worker that has confirmed this term has no lease of
+     * another term; any other worker may still have a lease of an earlier term.
      */
-    private boolean hasCertainlyStopped(WorkerId worker, long now) {
-        WorkerEntry entry = workers.get(worker);
-        if (entry != null && !entry.leasesExpired(now)) {
-            return false;
+    private long leasesExpireNanos(WorkerId worker, WorkerEntry entry) {
+        long earlier = earlierLeases.expireNanos(worker);
+        if (entry == null) {
+            return earlier;
         }
-        return (entry != null && entry.hasConfirmedTerm()) || now - predecessorLeasesExpireNanos >= 0;
+        long granted = entry.leasesExpireNanos();
+        return entry.hasConfirmedTerm() || granted - earlier >= 0 ? granted : earlier;
     }
 
     private void reportLost(TaskId id) {
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/task/WorkerEntry.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/task/WorkerEntry.java
@@ -96,6 +96,11 @@
         leasesExpireNanos = untilNanos;
     }
 
+    /** Returns when all leases have certainly expired that this scheduler granted to the worker, in nanoseconds. */
+    long leasesExpireNanos() {
+        return leasesExpireNanos;
+    }
+
     /** Returns whether all leases that this scheduler granted to the worker have certainly expired. */
     boolean leasesExpired(long now) {
         return !leaseGranted || now - leasesExpireNanos >= 0;
--- a/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/task/DataCentreSchedulerTests.java
+++ b/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/task/DataCentreSchedulerTests.java
@@ -111,6 +111,36 @@
             assertThat(two.running()).isEqualTo(5);
         }
 
+        @Test
+        void startsATaskOfALostWorkerElsewhereThoughTheHostAcquiresNewTerms() {
+            fixture.declare(SchedulerFixture.job("long", "team", 1, 200, false));
+            fixture.advance(3);
+            SchedulerFixture.FakeWorker lost = one.running() == 1 ? one : two;
+            lost.silent = true;
+
+            for (int i = 0; i < 4; i++) {
+                fixture.advance(1);
+                fixture.acquireAgain();
+            }
+            fixture.advance(1);
+
+            assertThat((lost == one ? two : one).running()).isEqualTo(1);
+        }
+
+        @Test
+        void waitsForTheLeaseOfASilentWorkerThoughTheHostAcquiresANewTerm() {
+            fixture.declare(SchedulerFixture.job("long", "team", 1, 200, false));
+            fixture.advance(3);
+            SchedulerFixture.FakeWorker silent = one.running() == 1 ? one : two;
+            silent.silent = true;
+
+            fixture.advance(1);
+            fixture.acquireAgain();
+            fixture.advance(2);
+
+            assertThat((silent == one ? two : one).starts).isEmpty();
+        }
+
         @Test
         void startsATaskOfALostWorkerElsewhereThoughItFailedBeforeItsLastStart() {
             one.failing.put("long", true);
--- a/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/task/SchedulerFixture.java
+++ b/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/task/SchedulerFixture.java
@@ -28,7 +28,7 @@
     static final long SECOND = 1_000_000_000L;
 
     final TaskTable table = TaskTable.create();
-    final DataCentreScheduler scheduler;
+    DataCentreScheduler scheduler;
     final Map<String, FakeWorker> workers = new TreeMap<>();
     boolean ticksBeforeSettling;
     private final List<TaskId> changedTasks = new ArrayList<>();
@@ -36,10 +36,7 @@
     private long now;
 
     SchedulerFixture() {
-        DataCentreId dataCentre = SchedulerSimulation.DATA_CENTRE;
-        apply(new TaskCommand.Acquire(
-                dataCentre, HostId.of("e1"), "e1", 0, SchedulerSimulation.TIMES.maxLeaseMillis()));
-        SchedulerTerm term = table.scheduler(dataCentre).orElseThrow();
+        SchedulerTerm term = acquire(0);
         scheduler = DataCentreScheduler.create(
                 term,
                 table,
@@ -51,6 +48,21 @@
         table.onChange(task -> changedTasks.add(task.id()));
     }
 
+    /** Acquires a new term for the acting host, as after a proposal with an unknown outcome. */
+    void acquireAgain() {
+        SchedulerTerm term = acquire(scheduler.term());
+        changedTasks.clear();
+        scheduler = scheduler.succeed(
+                term, WorkerScore.byCost(ColocationCostModel.NONE), LearnedCostModel.create(), now, now);
+    }
+
+    private SchedulerTerm acquire(long expectedTerm) {
+        DataCentreId dataCentre = SchedulerSimulation.DATA_CENTRE;
+        apply(new TaskCommand.Acquire(
+                dataCentre, HostId.of("e1"), "e1", expectedTerm, SchedulerSimulation.TIMES.maxLeaseMillis()));
+        return table.scheduler(dataCentre).orElseThrow();
+    }
+
     static JobManifest job(String name, String team, int tasks, int millicores, boolean urgent) {
         return new JobManifest(
                 JobName.of(name),
--- a/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/task/SimulatedHost.java
+++ b/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/task/SimulatedHost.java
@@ -25,6 +25,7 @@
     private boolean proposing;
     private boolean outcomeUnknown;
     private DataCentreScheduler scheduler;
+    private DataCentreScheduler latestScheduler;
 
     SimulatedHost(SchedulerSimulation simulation, String name) {
         this.simulation = simulation;
@@ -43,6 +44,7 @@
 
     void kill() {
         scheduler = null;
+        latestScheduler = null;
         incarnation++;
         proposing = false;
     }
@@ -152,20 +154,23 @@
             SchedulerTerm term =
                     table.scheduler(SchedulerSimulation.DATA_CENTRE).orElse(null);
             if (index > 0 && term != null && term.term() == index) {
-                scheduler = DataCentreScheduler.create(
-                        term,
-                        table,
-                        SchedulerSimulation.TIMES,
-                        WorkerScore.byCost(ColocationCostModel.NONE),
-                        LearnedCostModel.create(),
-                        sent,
-                        clock());
+                scheduler = createScheduler(term, expected, sent);
+                latestScheduler = scheduler;
                 proposing = false;
                 outcomeUnknown = false;
             }
         });
     }
 
+    private DataCentreScheduler createScheduler(SchedulerTerm term, long expected, long sent) {
+        WorkerScore score = WorkerScore.byCost(ColocationCostModel.NONE);
+        if (latestScheduler != null && latestScheduler.term() == expected) {
+            return latestScheduler.succeed(term, score, LearnedCostModel.create(), sent, clock());
+        }
+        return DataCentreScheduler.create(
+                term, table, SchedulerSimulation.TIMES, score, LearnedCostModel.create(), sent, clock());
+    }
+
     private void renew() {
         long sent = clock();
         DataCentreScheduler renewed = scheduler;
