--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/tasks/ActingScheduler.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/tasks/ActingScheduler.java
@@ -28,6 +28,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.function.Function;
 import java.util.stream.Collectors;
 import org.jboss.logging.Logger;
@@ -51,8 +52,12 @@
     private final LearnedCostModel learning = LearnedCostModel.create();
     private final String address;
     private final ConcurrentLinkedQueue<TaskId> changedTasks = new ConcurrentLinkedQueue<>();
+    private final ConcurrentLinkedQueue<Runnable> rejectedActions = new ConcurrentLinkedQueue<>();
     private volatile boolean recordingChanges;
     private DataCentreScheduler scheduler;
+    /** The scheduler of the newest term that this host has held, also after it has stepped down. */
+    private DataCentreScheduler latest;
+
     private boolean acquiring;
     private boolean renewing;
     private boolean proposing;
@@ -82,7 +87,7 @@
     /** Drops the scheduler after the table was restored from a snapshot. Called on the thread that applies the log. */
     void tableRestored() {
         recordingChanges = false;
-        context.pool().execute(this::stepDown);
+        execute(this::stepDown);
     }
 
     /** Answers a worker's poll, or refers the worker to the acting scheduler if this host does not act. */
@@ -100,6 +105,9 @@
 
     /** Acquires or renews the term if due, and advances the scheduler to the current time. */
     synchronized void tick() {
+        for (Runnable action = rejectedActions.poll(); action != null; action = rejectedActions.poll()) {
+            action.run();
+        }
         election.observe(ticker.nanos());
         if (current().isEmpty()) {
             acquireIfDue();
@@ -146,6 +154,15 @@
                 .handle((result, failure) -> null);
     }
 
+    /** Runs an action on the pool, or with the next tick if the pool is full. */
+    private void execute(Runnable action) {
+        try {
+            context.pool().execute(action);
+        } catch (RejectedExecutionException e) {
+            rejectedActions.add(action);
+        }
+    }
+
     private Optional<DataCentreScheduler> current() {
         if (scheduler == null) {
             return Optional.empty();
@@ -199,11 +216,12 @@
                 context.dataCentre(), context.self(), address, election.expectedTerm(), times.maxLeaseMillis());
         proposals
                 .propose(command)
-                .whenCompleteAsync((result, failure) -> completeAcquisition(result, sent), context.pool())
+                .whenComplete(
+                        (result, failure) -> execute(() -> completeAcquisition(result, command.expectedTerm(), sent)))
                 .exceptionally(failure -> null);
     }
 
-    private synchronized void completeAcquisition(CommandResult result, long sent) {
+    private synchronized void completeAcquisition(CommandResult result, long expectedTerm, long sent) {
         acquiring = false;
         if (result == null || !result.accepted() || draining) {
             return;
@@ -217,8 +235,11 @@
         outcomeUnknown = false;
         proposing = false;
         policyRevision = 0;
-        scheduler = DataCentreScheduler.create(
-                term, table, times, WorkerScore.byCost(learning), learning, sent, ticker.nanos());
+        WorkerScore score = WorkerScore.byCost(learning);
+        scheduler = latest != null && latest.term() == expectedTerm
+                ? latest.succeed(term, score, learning, sent, ticker.nanos())
+                : DataCentreScheduler.create(term, table, times, score, learning, sent, ticker.nanos());
+        latest = scheduler;
         LOG.infof("acting as scheduler of %s in term %d", context.dataCentre(), result.term());
     }
 
@@ -231,7 +252,7 @@
         DataCentreScheduler renewed = scheduler;
         proposals
                 .propose(new TaskCommand.Renew(context.dataCentre(), renewed.term()))
-                .whenCompleteAsync((result, failure) -> completeRenewal(renewed, result, now), context.pool())
+                .whenComplete((result, failure) -> execute(() -> completeRenewal(renewed, result, now)))
                 .exceptionally(failure -> null);
     }
 
@@ -255,7 +276,7 @@
         DataCentreScheduler proposer = scheduler;
         proposals
                 .propose(new TaskCommand.Transitions(context.dataCentre(), proposer.term(), batch))
-                .whenCompleteAsync((result, failure) -> completeProposal(proposer, batch, failure), context.pool())
+                .whenComplete((result, failure) -> execute(() -> completeProposal(proposer, batch, failure)))
                 .exceptionally(failure -> null);
     }
 
--- a/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/task/SchedulerFixture.java
+++ b/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/task/SchedulerFixture.java
@@ -28,17 +28,15 @@
     static final long SECOND = 1_000_000_000L;
 
     final TaskTable table = TaskTable.create();
-    final DataCentreScheduler scheduler;
+    DataCentreScheduler scheduler;
     final Map<String, FakeWorker> workers = new TreeMap<>();
+    boolean ticksBeforeSettling;
     private final List<TaskId> changedTasks = new ArrayList<>();
     private long index;
     private long now;
 
     SchedulerFixture() {
-        DataCentreId dataCentre = SchedulerSimulation.DATA_CENTRE;
-        apply(new TaskCommand.Acquire(
-                dataCentre, HostId.of("e1"), "e1", 0, SchedulerSimulation.TIMES.maxLeaseMillis()));
-        SchedulerTerm term = table.scheduler(dataCentre).orElseThrow();
+        SchedulerTerm term = acquire(0);
         scheduler = DataCentreScheduler.create(
                 term,
                 table,
@@ -50,6 +48,21 @@
         table.onChange(task -> changedTasks.add(task.id()));
     }
 
+    /** Acquires a new term for the acting host, as after a proposal with an unknown outcome. */
+    void acquireAgain() {
+        SchedulerTerm term = acquire(scheduler.term());
+        changedTasks.clear();
+        scheduler = scheduler.succeed(
+                term, WorkerScore.byCost(ColocationCostModel.NONE), LearnedCostModel.create(), now, now);
+    }
+
+    private SchedulerTerm acquire(long expectedTerm) {
+        DataCentreId dataCentre = SchedulerSimulation.DATA_CENTRE;
+        apply(new TaskCommand.Acquire(
+                dataCentre, HostId.of("e1"), "e1", expectedTerm, SchedulerSimulation.TIMES.maxLeaseMillis()));
+        return table.scheduler(dataCentre).orElseThrow();
+    }
+
     static JobManifest job(String name, String team, int tasks, int millicores, boolean urgent) {
         return new JobManifest(
                 JobName.of(name),
@@ -85,13 +98,15 @@
         return workers.computeIfAbsent(name, key -> new FakeWorker(key, millicores));
     }
 
-    /** Advances the time in steps of 100 ms; all workers poll once per step. */
+    /** Advances the time in steps of 100 ms; all workers that are not silent poll once per step. */
     void advance(double seconds) {
         for (int i = 0; i < seconds * 10; i++) {
             now += SECOND / 10;
             scheduler.extendAuthority(now);
             for (FakeWorker worker : workers.values()) {
-                worker.poll();
+                if (!worker.silent) {
+                    worker.poll();
+                }
                 applyTransitions();
             }
             scheduler.tick(now);
@@ -110,6 +125,9 @@
         for (List<Transition> batch = nextBatch(); !batch.isEmpty(); batch = nextBatch()) {
             apply(new TaskCommand.Transitions(SchedulerSimulation.DATA_CENTRE, scheduler.term(), batch));
             refresh();
+            if (ticksBeforeSettling) {
+                scheduler.tick(now);
+            }
             scheduler.settle(batch, now);
         }
     }
@@ -133,6 +151,7 @@
         long millicores;
         boolean failsAll;
         boolean runsForever;
+        boolean silent;
         private final WorkerId id;
         private final Map<TaskId, Long> endsAt = new HashMap<>();
         private long sequence;
@@ -148,6 +167,10 @@
                     .count();
         }
 
+        void failAll() {
+            tasks.keySet().forEach(task -> end(task, PollReport.Phase.FAILED));
+        }
+
         private void poll() {
             if (!runsForever) {
                 endsAt.forEach((task, end) -> {
