Log what a waiting task needs and what the closest worker has free

job-waiting named a reason alone. For no_capacity it could not be told from the log which resource was short, nor by how much.

The line now also contains what a task of the step needs, and the free capacity of the worker with the required label that lacks least. Still one line for each decision. The worker is looked for only when a line is written, once a round for tasks of one shape, which is at most the cost of the obstacles that a round determines for that shape anyway; its free capacity is that at the time of the line, beside tasks started and capacity reserved in the round.

The test does not compile on the code before, which reports a reason only.

The duration of a round was not measured.

--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/EngineEvents.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/EngineEvents.java
@@ -2,7 +2,9 @@
 
 import dev.waxwinghead.daemon.log.Event;
 import dev.waxwinghead.model.id.WorkerId;
+import dev.waxwinghead.model.resource.Resources;
 import dev.waxwinghead.scheduling.health.QuarantineControl;
+import dev.waxwinghead.scheduling.job.FreeCapacity;
 import dev.waxwinghead.scheduling.job.JobRecord;
 import dev.waxwinghead.scheduling.job.RunKey;
 import dev.waxwinghead.scheduling.job.SchedulerListener;
@@ -15,6 +17,7 @@
 import io.micrometer.core.instrument.Timer;
 import java.time.Duration;
 import java.util.Locale;
+import java.util.Optional;
 
 /** Writes the decisions of the job scheduler to the log and counts them in metrics. */
 final class EngineEvents implements SchedulerListener {
@@ -214,18 +217,26 @@
     }
 
     @Override
-    public void waiting(JobRecord job, int step, WaitReason reason) {
+    public void waiting(JobRecord job, int step, WaitReason reason, Optional<FreeCapacity> closest) {
         String name = reason.name().toLowerCase(Locale.ROOT);
         meters.counter("waxwinghead.job.waits", "class", job.terms().jobClass().value(), "reason", name)
                 .increment();
-        Event.of("job-waiting")
+        Resources need = job.submission().steps().get(step).need();
+        Event event = Event.of("job-waiting")
                 .with("job", job.id())
                 .with("class", job.terms().jobClass())
                 .with("step", step)
                 .with("reason", name)
                 .with("ageMillis", Math.max(0, System.currentTimeMillis() - job.acceptedEpochMillis()))
                 .with("liveRuns", job.liveRuns())
-                .write();
+                .with("needMillicores", need.millicores())
+                .with("needMemoryBytes", need.memoryBytes())
+                .with("needAccelerators", need.accelerators());
+        closest.ifPresent(worker -> event.with("closestWorker", worker.worker())
+                .with("freeMillicores", worker.free().millicores())
+                .with("freeMemoryBytes", worker.free().memoryBytes())
+                .with("freeAccelerators", worker.free().accelerators()));
+        event.write();
     }
 
     @Override
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/SchedulerListener.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/SchedulerListener.java
@@ -2,6 +2,7 @@
 
 import dev.waxwinghead.model.id.WorkerId;
 import dev.waxwinghead.scheduling.health.QuarantineControl;
+import java.util.Optional;
 
 /**
  * Listens to the decisions of a {@link JobScheduler}, for logs and metrics. Implementations must not block.
@@ -135,8 +136,10 @@
      * @param job the job
      * @param step the position of the step whose tasks wait, from 0
      * @param reason the reason
+     * @param closest the free capacity of the worker with the required label that lacks least for a task of the step,
+     *     empty if there is none
      */
-    void waiting(JobRecord job, int step, WaitReason reason);
+    void waiting(JobRecord job, int step, WaitReason reason, Optional<FreeCapacity> closest);
 
     /**
      * Called when a worker is found to be slow, or sound again.
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/ServiceWorkers.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/ServiceWorkers.java
@@ -2,12 +2,15 @@
 
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Function;
+import java.util.function.Predicate;
 import java.util.function.ToDoubleFunction;
 
 /** Holds the workers of one service that accept tasks in one scheduling round, and what was found out about them. */
@@ -20,6 +23,7 @@
     private final Set<WorkerCapacity> selective = new LinkedHashSet<>();
     private final Map<TaskShape, ShapeObstacles> obstacles = new HashMap<>();
     private final Map<TaskShape, List<WorkerCapacity>> withHeadroom = new HashMap<>();
+    private final Map<TaskShape, Optional<WorkerCapacity>> closest = new HashMap<>();
     private int mostlyFreeChanges = -1;
     private boolean mostlyFree;
 
@@ -78,6 +82,19 @@
                         .toList());
     }
 
+    /**
+     * Returns the worker that lacked least for a task of a shape when it was first asked for in the round.
+     *
+     * @param shape the shape
+     * @param suitable returns whether a worker is suitable for the shape if it has the capacity
+     * @param shortage returns how much a worker lacks
+     */
+    Optional<WorkerCapacity> closest(
+            TaskShape shape, Predicate<WorkerCapacity> suitable, ToDoubleFunction<WorkerCapacity> shortage) {
+        return closest.computeIfAbsent(
+                shape, key -> workers.stream().filter(suitable).min(Comparator.comparingDouble(shortage)));
+    }
+
     /** Returns whether so much of the capacity is free that no job may be left without a running task. */
     boolean mostlyFree() {
         if (mostlyFreeChanges != changes.size()) {
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/StartPlan.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/StartPlan.java
@@ -106,6 +106,7 @@
                         job,
                         position,
                         () -> placer.waitReason(job.terms().service(), job.id(), step.step(), perWorker, suspect),
+                        () -> placer.closest(job.terms().service(), step.step()),
                         now);
     }
 
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TaskPlacer.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TaskPlacer.java
@@ -147,6 +147,16 @@
         return closest;
     }
 
+    /** Returns what the labelled worker that lacks least for a task has free, whatever its health. */
+    Optional<FreeCapacity> closest(ServiceName service, JobStep step) {
+        return workers(service)
+                .closest(
+                        TaskShape.of(step),
+                        candidate -> labelled(candidate, step),
+                        candidate -> candidate.shortage(step))
+                .map(WorkerCapacity::free);
+    }
+
     /** Returns the eligible worker with the highest score, the first in case of a tie. */
     private Optional<WorkerCapacity> best(
             List<WorkerCapacity> workers, Predicate<WorkerCapacity> eligible, ToDoubleFunction<WorkerCapacity> score) {
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/WaitLog.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/WaitLog.java
@@ -3,6 +3,7 @@
 import dev.waxwinghead.model.id.JobId;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
@@ -23,9 +24,11 @@
      * @param job the job
      * @param step the step's position
      * @param reason returns the reason; not called if it would not be reported
+     * @param closest returns the free capacity of the worker that lacks least; called only for a report
      * @param now the current time, in nanoseconds
      */
-    void waiting(JobRecord job, int step, Supplier<WaitReason> reason, long now) {
+    void waiting(
+            JobRecord job, int step, Supplier<WaitReason> reason, Supplier<Optional<FreeCapacity>> closest, long now) {
         Entry known = entries.get(job.id());
         if (known == null) {
             entries.put(job.id(), new Entry(null, now));
@@ -37,7 +40,7 @@
         WaitReason current = reason.get();
         if (known.reason != current) {
             entries.put(job.id(), new Entry(current, now));
-            events.waiting(job, step, current);
+            events.waiting(job, step, current, closest.get());
         }
     }
 
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/WorkerCapacity.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/WorkerCapacity.java
@@ -76,6 +76,13 @@
         return finiteTasks;
     }
 
+    /** Returns the free capacity, 0 of a resource of which more is reserved than is free. */
+    FreeCapacity free() {
+        return new FreeCapacity(
+                entry.id(),
+                Resources.of(Math.max(0, freeMillicores), Math.max(0, freeMemoryBytes), Math.max(0, freeAccelerators)));
+    }
+
     long freeMillicores() {
         return freeMillicores;
     }
--- a/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/DrainTests.java
+++ b/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/DrainTests.java
@@ -542,7 +542,7 @@
         }
 
         @Override
-        public void waiting(JobRecord job, int step, WaitReason reason) {
+        public void waiting(JobRecord job, int step, WaitReason reason, Optional<FreeCapacity> closest) {
             waits.add(job.id() + " " + reason);
         }
 
--- a/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobSchedulerTests.java
+++ b/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobSchedulerTests.java
@@ -1444,6 +1444,31 @@
         }
     }
 
+    @Nested
+    class ReportingWaits {
+        private final List<FreeCapacity> closestWorkers = new ArrayList<>();
+
+        @Test
+        void namesTheFreeCapacityOfTheWorkerThatLacksLeast() {
+            scheduler = JobScheduler.of(table, TIMES, services::contains, new SilentListener() {
+                @Override
+                public void waiting(JobRecord job, int step, WaitReason reason, Optional<FreeCapacity> closest) {
+                    closest.ifPresent(closestWorkers::add);
+                }
+            });
+            scheduler.takeOver(now);
+            accept("m1", JobFixtures.lasting(Resources.of(1000, 90_000, 0)));
+            startAll(W1);
+            accept("m2", JobFixtures.lasting(Resources.of(3000, 20_000, 0)));
+            startAll(W22);
+            accept("j1", JobFixtures.finite(1, Resources.of(2000, 50_000, 0)));
+            startAll(W1);
+            now += TimeUnit.SECONDS.toNanos(1);
+            startAll(W22);
+            assertThat(closestWorkers).containsExactly(new FreeCapacity(W22.worker(), Resources.of(1000, 80_000, 0)));
+        }
+    }
+
     @Nested
     class StartingBestEffortTasks {
         @Test
@@ -1933,7 +1958,7 @@
         public void restartPaused(TaskKey task, int shortRuns, long millis) {}
 
         @Override
-        public void waiting(JobRecord job, int step, WaitReason reason) {
+        public void waiting(JobRecord job, int step, WaitReason reason, Optional<FreeCapacity> closest) {
             waits.add(job.id() + " " + reason);
         }
 
--- a/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/PlannedRoundsTests.java
+++ b/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/PlannedRoundsTests.java
@@ -15,6 +15,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -63,7 +64,7 @@
         private final JobTable table = JobTable.create();
         private final JobScheduler scheduler = JobScheduler.of(table, TIMES, service -> true, new SilentListener() {
             @Override
-            public void waiting(JobRecord job, int step, WaitReason reason) {
+            public void waiting(JobRecord job, int step, WaitReason reason, Optional<FreeCapacity> closest) {
                 waits.add(reason);
                 record("waiting " + job.id() + " " + step + " " + reason);
             }
--- a/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/SilentListener.java
+++ b/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/SilentListener.java
@@ -2,6 +2,7 @@
 
 import dev.waxwinghead.model.id.WorkerId;
 import dev.waxwinghead.scheduling.health.QuarantineControl;
+import java.util.Optional;
 
 /** Ignores all decisions of a scheduler. */
 class SilentListener implements SchedulerListener {
@@ -48,7 +49,7 @@
     public void restartPaused(TaskKey task, int shortRuns, long millis) {}
 
     @Override
-    public void waiting(JobRecord job, int step, WaitReason reason) {}
+    public void waiting(JobRecord job, int step, WaitReason reason, Optional<FreeCapacity> closest) {}
 
     @Override
     public void workerSpeed(WorkerId worker, boolean slow, double factor) {}
