Let the test of waiting requests begin once the second request waits

The test now waits until the request is in the pool's queue and pauses after that; what it asserts and the length of the pause are unchanged.

--- a/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/http/HttpListenerTests.java
+++ b/waxwinghead-daemon/src/test/java/dev/waxwinghead/daemon/http/HttpListenerTests.java
@@ -20,7 +20,9 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Executor;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.AfterEach;
@@ -141,7 +143,8 @@
     void tellsHowLongARequestWaitedForAThread() throws Exception {
         BlockingQueue<Long> arrivals = new LinkedBlockingQueue<>();
         CountDownLatch release = new CountDownLatch(1);
-        HttpListener listener = listen(exchange -> {
+        ThreadPoolExecutor pool = (ThreadPoolExecutor) ThreadPools.bounded("http", 1, closer);
+        HttpListener listener = listen(pool, exchange -> {
             arrivals.add(HttpListener.earliestArrivalNanos(exchange));
             try {
                 release.await();
@@ -154,6 +157,9 @@
         responses.add(HttpClient.newHttpClient().sendAsync(request(listener), HttpResponse.BodyHandlers.ofString()));
         assertThat(arrivals.take()).isAtMost(System.nanoTime());
         responses.add(HttpClient.newHttpClient().sendAsync(request(listener), HttpResponse.BodyHandlers.ofString()));
+        while (pool.getQueue().isEmpty()) {
+            TimeUnit.MILLISECONDS.sleep(1);
+        }
         TimeUnit.MILLISECONDS.sleep(300);
         long releasedNanos = System.nanoTime();
         release.countDown();
@@ -170,9 +176,12 @@
     }
 
     private HttpListener listen(int threads, HttpHandler handler) {
-        HttpListener listener = closer.register(HttpListener.open(
-                new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
-                ThreadPools.bounded("http", threads, closer)));
+        return listen(ThreadPools.bounded("http", threads, closer), handler);
+    }
+
+    private HttpListener listen(Executor pool, HttpHandler handler) {
+        HttpListener listener =
+                closer.register(HttpListener.open(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), pool));
         listener.route("/", handler);
         listener.start();
         return listener;
