Let silent workers return with the report that ends their silence

A take-over now observes the silences first, and a silence counts only by its own number. The answer to a silent worker is held until its return is committed and carries the lease. Silence counts only while the scheduler has planned without a gap of 0.5 s. Silences are planned before starts, so that full plans do not keep returns waiting.

--- a/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobEngine.java
+++ b/waxwinghead-daemon/src/main/java/dev/waxwinghead/daemon/jobs/JobEngine.java
@@ -188,17 +188,19 @@
         released.forEach(each -> answerExecutor.execute(each::complete));
     }
 
-    /** Answers the reports of workers that a committed plan starts tasks on. */
-    private void answerStarted(List<JobTransition> plan) {
+    /** Answers the reports of workers that a committed plan starts tasks on, or lets return. */
+    private void answerPlanned(List<JobTransition> plan) {
         List<Released> released;
         synchronized (table) {
-            List<HeldAnswers.Held> started = new ArrayList<>();
+            List<HeldAnswers.Held> planned = new ArrayList<>();
             for (JobTransition transition : plan) {
                 if (transition instanceof JobTransition.Started start) {
-                    held.remove(start.worker().worker()).ifPresent(started::add);
+                    held.remove(start.worker().worker()).ifPresent(planned::add);
+                } else if (transition instanceof JobTransition.Returned returned) {
+                    held.remove(returned.worker().worker()).ifPresent(planned::add);
                 }
             }
-            released = answers(started);
+            released = answers(planned);
         }
         released.forEach(each -> answerExecutor.execute(each::complete));
     }
@@ -347,7 +349,7 @@
             return;
         }
         if (propose(new JobCommand.Advance(epoch, plan))) {
-            answerStarted(plan);
+            answerPlanned(plan);
             wake();
         } else {
             planUnresolved = true;
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/ReportHandler.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/ReportHandler.java
@@ -23,6 +23,9 @@
     /** The time to stop a task, to start it on another worker and to load its checkpoint. */
     static final double MOVE_MILLIS = 700;
 
+    /** How long the answer to a silent worker waits until its return is committed. */
+    private static final long MAX_RETURN_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
+
     /** The time until the next report of a worker whose return is being committed. */
     private static final long RETURNING_REPORT_MILLIS = 100;
 
@@ -67,7 +70,7 @@
         requestStops(entry, now);
         recordOverdueRuns(entry, now);
         protectServingTasks(entry, residents, now);
-        long answerDueNanos = extendsLease ? timing(entry).answerDueNanos(now) : now;
+        long answerDueNanos = extendsLease ? timing(entry).answerDueNanos(now) : now + MAX_RETURN_NANOS;
         return Optional.of(new ReportReceipt(report.incarnation(), report.sequence(), answerDueNanos));
     }
 
@@ -237,6 +240,9 @@
         List<WorkerInstructions.Start> starts = starts(entry);
         starts.forEach(start -> entry.startSent(start.run()));
         boolean mayExtendLease = state.mayExtendLease(entry.incarnation());
+        if (mayExtendLease) {
+            entry.extendLease(entry.reportedNanos() + state.times().leaseBoundNanos());
+        }
         return new WorkerInstructions(
                 mayExtendLease ? state.times().lease().toMillis() : 0,
                 acknowledged(entry),
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/SchedulerState.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/SchedulerState.java
@@ -104,6 +104,7 @@
     /** Discards the reported state of workers, but keeps what was learned about images and failing workers. */
     void takeOver(long now) {
         takenOverNanos = now;
+        observeSilences(now);
         health.resetStarted();
         workers = new WorkerRegistry();
         endingRuns.clear();
@@ -147,8 +148,12 @@
     /** Returns when the leases that earlier schedulers may have granted to a worker have certainly expired. */
     long inheritedLeaseEndNanos(WorkerIncarnation worker) {
         long endNanos = takenOverNanos + times.inheritedLeaseBoundNanos();
-        ObservedSilence silence = observedSilences.get(worker);
-        return silence == null ? endNanos : Math.min(endNanos, silence.sinceNanos() + times.leaseBoundNanos());
+        ObservedSilence observed = observedSilences.get(worker);
+        Long current = table.silences().get(worker);
+        if (observed == null || current == null || observed.number() != current) {
+            return endNanos;
+        }
+        return Math.min(endNanos, observed.sinceNanos() + times.leaseBoundNanos());
     }
 
     /** Returns whether a run was started by an earlier scheduler. */
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TransitionPlanner.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/TransitionPlanner.java
@@ -24,6 +24,9 @@
     /** Covers several reports of a worker, and its search for a new scheduler. */
     private static final long SILENCE_NANOS = TimeUnit.SECONDS.toNanos(2);
 
+    /** Scheduling rounds follow each other by a twentieth of a second or less while the scheduler acts. */
+    private static final long MAX_PLANNING_GAP_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
     /**
      * How long the begin of a job waits for other transitions to be committed with; what callers read may be 2 s old.
      */
@@ -34,6 +37,9 @@
     private long begunPlannedNanos;
     private final Map<JobId, Long> endedNanos = new HashMap<>();
     private final Set<JobId> givenUp = new HashSet<>();
+    private long plannedNanos;
+    /** Since when this scheduler has planned without a long gap, in which it may not have received reports. */
+    private long listeningSinceNanos;
 
     TransitionPlanner(SchedulerState state) {
         this.state = state;
@@ -42,6 +48,8 @@
 
     void takeOver(long now) {
         drainMoves.takeOver();
+        plannedNanos = now;
+        listeningSinceNanos = now;
         begunPlannedNanos = now;
         for (JobRecord job : state.table().all()) {
             if (job.state().ended()) {
@@ -52,14 +60,18 @@
 
     List<JobTransition> plan(long now, long epochMillis) {
         List<JobTransition> plan = new ArrayList<>();
+        if (now - plannedNanos > MAX_PLANNING_GAP_NANOS) {
+            listeningSinceNanos = now;
+        }
+        plannedNanos = now;
         state.observeSilences(now);
         state.releaseEndedStarts();
         planEnds(plan, now);
         planEndsOfUnstarted(plan);
         planLosses(plan, now);
+        planSilences(plan, now);
         planStarts(plan, now, epochMillis);
         planRemovals(plan, now);
-        planSilences(plan, now);
         planBegunJobs(plan, now);
         state.recordPlan(plan);
         return plan;
@@ -183,15 +195,17 @@
     private void planSilences(List<JobTransition> plan, long now) {
         Set<WorkerIncarnation> silences = state.table().silences().keySet();
         for (WorkerIncarnation worker : state.table().busyWorkers()) {
-            boolean silent = silent(worker, now);
-            if (silent == silences.contains(worker) || plan.size() >= MAX_TRANSITIONS) {
-                continue;
+            if (plan.size() >= MAX_TRANSITIONS) {
+                return;
             }
             Optional<WorkerEntry> entry = state.workers().find(worker);
-            if (!silent) {
+            boolean heard = entry.filter(reported -> !reported.silentFor(now, SILENCE_NANOS))
+                    .isPresent();
+            boolean missed = !heard && now - listeningSinceNanos > SILENCE_NANOS;
+            if (heard && silences.contains(worker)) {
                 state.events().workerReturned(worker);
                 plan.add(new JobTransition.Returned(worker));
-            } else if (!lost(worker, entry, now)) {
+            } else if (missed && !silences.contains(worker) && !lost(worker, entry, now)) {
                 reportSilence(worker, entry, now);
                 plan.add(new JobTransition.Silent(worker));
             }
@@ -204,14 +218,6 @@
         state.events().workerSilent(worker, runs, entry.isPresent(), TimeUnit.NANOSECONDS.toMillis(endNanos - now));
     }
 
-    private boolean silent(WorkerIncarnation worker, long now) {
-        return state.workers()
-                .find(worker)
-                .map(entry -> entry.silentFor(now, SILENCE_NANOS))
-                .orElseGet(() ->
-                        state.table().silences().containsKey(worker) || now - state.takenOverNanos() > SILENCE_NANOS);
-    }
-
     private String lossReason(WorkerIncarnation incarnation, Optional<WorkerEntry> entry) {
         boolean restarted =
                 entry.map(WorkerEntry::crashed).orElseGet(() -> state.workers().superseded(incarnation));
--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/WorkerEntry.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/job/WorkerEntry.java
@@ -232,6 +232,11 @@
         return now - coldUntilNanos < 0;
     }
 
+    /** Returns when the latest report arrived. */
+    long reportedNanos() {
+        return reportedNanos;
+    }
+
     boolean silentFor(long now, long boundNanos) {
         return now - reportedNanos > boundNanos;
     }
--- a/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobSchedulerTests.java
+++ b/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobSchedulerTests.java
@@ -339,7 +339,8 @@
 
         @Test
         void getNoLeaseWhileTheirSilenceIsBeingCommitted() {
-            now += TimeUnit.MILLISECONDS.toNanos(2100);
+            pass(2000);
+            now += TimeUnit.MILLISECONDS.toNanos(50);
             List<JobTransition> plan = plan();
             assertThat(plan).contains(new JobTransition.Silent(W1));
             assertThat(reportRunning().leaseMillis()).isEqualTo(0);
@@ -379,6 +380,51 @@
             assertThat(table.runsOn(W1)).containsExactly(run);
         }
 
+        /** Guards against a task that runs twice since a later scheduler counts from an earlier silence. */
+        @Test
+        void keepTheirRunsIfALaterSchedulerHasLearnedOfAnEarlierSilenceOnly() {
+            JobScheduler later = newScheduler();
+            pass(2100);
+            later.observeSilences(now);
+            reportRunning();
+            commit(plan());
+            pass(8000);
+            reportRunning();
+            pass(50);
+            reportRunning();
+            pass(2100);
+            table.apply(++index, new JobCommand.Acquire(HostId.of("h2")));
+            later.takeOver(now);
+            scheduler = later;
+            reportRunning();
+            commit(plan());
+            assertThat(table.runsOn(W1)).containsExactly(run);
+        }
+
+        /** Guards against leases that lapse although each report of a slow worker arrives. */
+        @Test
+        void getALeaseWithTheReportThatEndsTheirSilence() {
+            for (int round = 0; round < 6; round++) {
+                pass(2200);
+                ReportReceipt receipt = scheduler
+                        .receive(JobFixtures.report(W1, ++sequence, List.of(running("s1", 0, 1, 100)), List.of()), now)
+                        .orElseThrow();
+                assertThat(receipt.due(now)).isFalse();
+                pass(50);
+                assertThat(scheduler.answer(receipt).orElseThrow().leaseMillis())
+                        .isEqualTo(10_000);
+            }
+            assertThat(table.runsOn(W1)).containsExactly(run);
+        }
+
+        @Test
+        void areNotThoseThatTheSchedulerDidNotListenTo() {
+            now += TimeUnit.SECONDS.toNanos(3);
+            assertThat(plan()).doesNotContain(new JobTransition.Silent(W1));
+            pass(1900);
+            assertThat(table.silences()).isEmpty();
+        }
+
         @Test
         void getNoTasksUntilTheirReturnIsCommitted() {
             pass(2100);
