--- a/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobSchedulerTests.java
+++ b/waxwinghead-scheduling/src/test/java/dev/waxwinghead/scheduling/job/JobSchedulerTests.java
@@ -279,9 +279,7 @@
     class WorkersThatAreGoneWhenSchedulersChange {
         @BeforeEach
         void startALastingTask() {
-            accept("s1", JobFixtures.step(1, List.of(), true, false, 100));
-            startAll(W1);
-            report(W1, running("s1", 0, 1, 100));
+            runLastingTask();
         }
 
         @Test
@@ -332,9 +330,7 @@
 
         @BeforeEach
         void startALastingTask() {
-            accept("s1", JobFixtures.step(1, List.of(), true, false, 100));
-            startAll(W1);
-            report(W1, running("s1", 0, 1, 100));
+            runLastingTask();
         }
 
         @Test
@@ -450,10 +446,6 @@
             pass(2400);
             assertThat(table.runsOn(W1)).isEmpty();
         }
-
-        private WorkerInstructions reportRunning() {
-            return report(W1, running("s1", 0, 1, 100));
-        }
     }
 
     /** Guards against tasks that run twice since a worker without an acknowledgement of its exit runs on. */
@@ -2039,6 +2031,17 @@
         assertThat(table.runsOn(worker)).isEmpty();
     }
 
+    /** Runs the only task of a lasting job on the first worker. */
+    private void runLastingTask() {
+        accept("s1", JobFixtures.step(1, List.of(), true, false, 100));
+        startAll(W1);
+        reportRunning();
+    }
+
+    private WorkerInstructions reportRunning() {
+        return report(W1, running("s1", 0, 1, 100));
+    }
+
     /** Lets time pass in which the scheduler plans as often as it does in practice. */
     private void pass(long millis) {
         for (long passed = 0; passed < millis; passed += 50) {
