--- a/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/task/DataCentreScheduler.java
+++ b/waxwinghead-scheduling/src/main/java/dev/waxwinghead/scheduling/task/DataCentreScheduler.java
@@ -33,7 +33,7 @@
     private final long term;
     private final TaskTable table;
     private final LeaseDurations times;
-    private final long predecessorLeasesExpireNanos;
+    private final EarlierLeases earlierLeases;
     private final PlacementIndex index;
     private final Commitments commitments;
     private final WaitingQueue queue = new WaitingQueue();
@@ -50,6 +50,7 @@
             SchedulerTerm term,
             TaskTable table,
             LeaseDurations times,
+            EarlierLeases earlierLeases,
             WorkerScore score,
             LearnedCostModel learning,
             long sentNanos,
@@ -60,7 +61,7 @@
         learning.resetHistory();
         this.table = table;
         this.times = times;
-        this.predecessorLeasesExpireNanos = now + LeaseDurations.termExpiryNanos(term);
+        this.earlierLeases = earlierLeases;
         this.index = PlacementIndex.create(score);
         this.commitments = new Commitments(index, learning);
         this.pollHandler = new PollHandler(
@@ -91,7 +92,28 @@
             LearnedCostModel learning,
             long sentNanos,
             long now) {
-        return new DataCentreScheduler(term, table, times, score, learning, sentNanos, now);
+        EarlierLeases earlierLeases = EarlierLeases.unknown(now + LeaseDurations.termExpiryNanos(term));
+        return new DataCentreScheduler(term, table, times, earlierLeases, score, learning, sentNanos, now);
+    }
+
+    /**
+     * Creates the scheduler of a term that the same host has acquired directly after the term of this scheduler. The
+     * new scheduler knows which leases this one has granted, so it need not wait for other leases of this term. This
+     * scheduler must not be used any more.
+     *
+     * @param next the new term
+     * @param score the score that ranks workers
+     * @param learning the model that learns from measurements
+     * @param sentNanos when the request for the new term was sent
+     * @param now the current time, of the clock that this scheduler has used
+     * @return the new scheduler, never null
+     */
+    public DataCentreScheduler succeed(
+            SchedulerTerm next, WorkerScore score, LearnedCostModel learning, long sentNanos, long now) {
+        Map<WorkerId, Long> expiries = new HashMap<>();
+        workers.forEach((id, entry) -> expiries.put(id, leasesExpireNanos(id, entry)));
+        return new DataCentreScheduler(
+                next, table, times, earlierLeases.with(expiries), score, learning, sentNanos, now);
     }
 
     /**
@@ -123,17 +145,18 @@
     }
 
     /**
-     * Updates the state derived from a task after the record of that task may have changed.
+     * Updates the state derived from a task after the record of that task may have changed. A task with a pending
+     * transition keeps its commitments and is not placed until the transition is settled.
      *
      * @param id the task
      */
     public void refreshTask(TaskId id) {
         TaskRecord task = table.task(id).orElse(null);
         OwnerRecord owner = task == null ? null : table.owner(task.owner()).orElse(null);
-        boolean startPending = outbox.pending(id) instanceof Transition.Start;
+        boolean pending = outbox.contains(id);
         if (owner != null && task.attempt() != null) {
             quotas.hold(id, owner.team(), task.attempt().resources());
-        } else if (!startPending) {
+        } else if (!pending) {
             quotas.release(id);
         }
         if (owner == null || !dataCentre.equals(task.dataCentre())) {
@@ -144,10 +167,10 @@
         if (task.attempt() != null) {
             Attempt live = task.attempt();
             commitments.put(id, live.number(), live.worker(), workload(owner), live.resources(), lastNanos);
-        } else if (!startPending) {
+        } else if (!pending) {
             commitments.remove(id, lastNanos);
         }
-        if (task.state() == TaskState.WAITING && !startPending) {
+        if (task.state() == TaskState.WAITING && !pending) {
             queue.add(task, owner);
         } else {
             queue.remove(id);
@@ -300,16 +323,22 @@
         }
     }
 
+    /** Returns whether a worker has certainly stopped its tasks. */
+    private boolean hasCertainlyStopped(WorkerId worker, long now) {
+        return now - leasesExpireNanos(worker, workers.get(worker)) >= 0;
+    }
+
     /**
-     * Returns whether a worker has certainly stopped its tasks. A worker that has confirmed this term has no lease of
-     * another term; any other worker may still have a lease of the previous term.
+     * Returns when all leases of a worker have certainly expired. A worker that has confirmed this term has no lease of
+     * another term; any other worker may still have a lease of an earlier term.
      */
-    private boolean hasCertainlyStopped(WorkerId worker, long now) {
-        WorkerEntry entry = workers.get(worker);
-        if (entry != null && !entry.leasesExpired(now)) {
-            return false;
+    private long leasesExpireNanos(WorkerId worker, WorkerEntry entry) {
+        long earlier = earlierLeases.expireNanos(worker);
+        if (entry == null) {
+            return earlier;
         }
-        return (entry != null && entry.hasConfirmedTerm()) || now - predecessorLeasesExpireNanos >= 0;
+        long granted = entry.leasesExpireNanos();
+        return entry.hasConfirmedTerm() || granted - earlier >= 0 ? granted : earlier;
     }
 
     private void reportLost(TaskId id) {
@@ -342,13 +371,17 @@
         }
     }
 
+    /** Delays the next start of a failed task. The delay counts from the last start, so a long run is not delayed. */
     private void delayRetry(Transition transition, long now) {
         boolean failed = transition instanceof Transition.Report report
                 && (report.kind() == Transition.Kind.FAILED || report.kind() == Transition.Kind.COMPLETED);
         TaskRecord task = failed ? table.task(transition.task()).orElse(null) : null;
         if (task != null && task.state() == TaskState.WAITING) {
             int doublings = Math.min(Math.max(0, task.failures() - 1), MAX_RETRY_DOUBLINGS);
-            queue.delay(task.id(), now + (INITIAL_RETRY_DELAY_NANOS << doublings));
+            long until = commitments.sinceNanos(task.id(), now) + (INITIAL_RETRY_DELAY_NANOS << doublings);
+            if (until - now > 0) {
+                queue.delay(task.id(), until);
+            }
         }
     }
 
